Add the decision packages and the platform stand-in

Cause: the thin path needs the decisions and something to run against. Conclusion: the daemon can be built on these.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BIN := $(CURDIR)/.bin
 MODULES := shared standin wagtailcroftd wagtailcroft demo
-SCHEMAS := types caller operator peer rows platform settings
+SCHEMAS := types caller operator peer rows platform runner settings
 OAPI_VERSION := v2.8.2
 LINT_VERSION := v2.15.0
 
--- a/shared/gen/platform/platform.go
+++ b/shared/gen/platform/platform.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Audit What really happened.
+type Audit struct {
+	// GangsStarted Attempts of which at least one member started.
+	GangsStarted int64 `json:"gangsStarted"`
+
+	// HalfRunning Attempts of which a part runs now while another part does not.
+	HalfRunning int32 `json:"halfRunning"`
+
+	// LongestHalfMillis Longest time that a part of an attempt ran without the rest.
+	LongestHalfMillis externalRef0.Millis `json:"longestHalfMillis"`
+
+	// Overlapping Jobs of which members of two attempts ran at one time.
+	Overlapping int32 `json:"overlapping"`
+
+	// Reads Calls that read the table service.
+	Reads        int64 `json:"reads"`
+	TaskCommands int64 `json:"taskCommands"`
+
+	// Writes Transactions asked for.
+	Writes int64 `json:"writes"`
+}
+
 // Condition The row must have this version; 0 means absent.
 type Condition struct {
 	Key   string `json:"key"`
@@ -81,6 +103,9 @@
 
 // Faults What the stand-in does wrong until told otherwise.
 type Faults struct {
+	// CutInstances Requests from these entry instances get no answer.
+	CutInstances []externalRef0.InstanceID `json:"cutInstances,omitempty"`
+
 	// CutZones Requests from these zones get no answer.
 	CutZones []externalRef0.ZoneID `json:"cutZones,omitempty"`
 
@@ -174,31 +199,6 @@
 	Version externalRef0.RowVersion `json:"version"`
 }
 
-// RunAnswer defines model for RunAnswer.
-type RunAnswer struct {
-	// Failed The work was started and failed.
-	Failed  bool   `json:"failed"`
-	Payload string `json:"payload"`
-
-	// PayloadBytes Length of payload; another length means a truncated answer.
-	PayloadBytes externalRef0.Bytes `json:"payloadBytes"`
-
-	// RequestID Names one call of a caller.
-	RequestID externalRef0.RequestID `json:"requestId"`
-}
-
-// RunCall Sent to a runner, which runs it and echoes the request id.
-type RunCall struct {
-	Kind    string `json:"kind"`
-	Payload string `json:"payload"`
-
-	// RequestID Names one call of a caller.
-	RequestID externalRef0.RequestID `json:"requestId"`
-
-	// Workspace Names a workspace, 1 to 63 characters.
-	Workspace externalRef0.WorkspaceID `json:"workspace"`
-}
-
 // ScanQuery defines model for ScanQuery.
 type ScanQuery struct {
 	Prefix string `json:"prefix"`
@@ -245,8 +245,11 @@
 	Epoch externalRef0.LeaseEpoch `json:"epoch"`
 
 	// JobID Names one gang job.
-	JobID   externalRef0.JobID `json:"jobId"`
-	Payload string             `json:"payload,omitempty"`
+	JobID externalRef0.JobID `json:"jobId"`
+
+	// Members Size of the gang of the task.
+	Members externalRef0.Members `json:"members,omitempty"`
+	Payload string               `json:"payload,omitempty"`
 
 	// Task Names one member of one attempt of a gang job.
 	Task externalRef0.TaskID `json:"task"`
@@ -431,6 +434,11 @@
 // The interface specification for the client above.
 type ClientInterface interface {
 
+	// GetAudit performs a GET /v1/audit (the `GetAudit` operationId) request.
+	//
+	// Stand-in only; what really happened, for tests.
+	GetAudit(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
+
 	// SetFaultsWithBody performs a PUT /v1/faults (the `SetFaults` operationId) request,
 	// with any type of body and a specified content type.
 	SetFaultsWithBody(ctx context.Context, contentType string, body io.Reader, reqEditors ...RequestEditorFn) (*http.Response, error)
@@ -489,6 +497,21 @@
 	Transact(ctx context.Context, body TransactJSONRequestBody, reqEditors ...RequestEditorFn) (*http.Response, error)
 }
 
+// GetAudit performs a GET /v1/audit (the `GetAudit` operationId) request.
+//
+// Stand-in only; what really happened, for tests.
+func (c *Client) GetAudit(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewGetAuditRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // SetFaultsWithBody performs a PUT /v1/faults (the `SetFaults` operationId) request,
 // with any type of body and a specified content type.
 func (c *Client) SetFaultsWithBody(ctx context.Context, contentType string, body io.Reader, reqEditors ...RequestEditorFn) (*http.Response, error) {
@@ -696,6 +719,33 @@
 	return c.Client.Do(req)
 }
 
+// NewGetAuditRequest constructs an http.Request for the GetAudit method
+func NewGetAuditRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/audit")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 // NewSetFaultsRequest calls the generic SetFaults builder with application/json body
 func NewSetFaultsRequest(server string, body SetFaultsJSONRequestBody) (*http.Request, error) {
 	var bodyReader io.Reader
@@ -1146,6 +1196,13 @@
 // ClientWithResponsesInterface is the interface specification for the client with responses above.
 type ClientWithResponsesInterface interface {
 
+	// GetAuditWithResponse performs a GET /v1/audit (the `GetAudit` operationId) request.
+	//
+	// Stand-in only; what really happened, for tests.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	GetAuditWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*GetAuditResponse, error)
+
 	// SetFaultsWithBodyWithResponse performs a PUT /v1/faults (the `SetFaults` operationId) request,
 	// with any type of body and a specified content type.
 	//
@@ -1222,6 +1279,47 @@
 	TransactWithResponse(ctx context.Context, body TransactJSONRequestBody, reqEditors ...RequestEditorFn) (*TransactResponse, error)
 }
 
+type GetAuditResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *Audit
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r GetAuditResponse) GetJSON200() *Audit {
+	return r.JSON200
+}
+
+// GetBody returns the raw response body bytes
+func (r GetAuditResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r GetAuditResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r GetAuditResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r GetAuditResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 type SetFaultsResponse struct {
 	Body         []byte
 	HTTPResponse *http.Response
@@ -1591,6 +1689,19 @@
 	return ""
 }
 
+// GetAuditWithResponse performs a GET /v1/audit (the `GetAudit` operationId) request.
+//
+// Stand-in only; what really happened, for tests.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) GetAuditWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*GetAuditResponse, error) {
+	rsp, err := c.GetAudit(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseGetAuditResponse(rsp)
+}
+
 // SetFaultsWithBodyWithResponse performs a PUT /v1/faults (the `SetFaults` operationId) request,
 // with any type of body and a specified content type.
 //
@@ -1756,6 +1867,32 @@
 	return ParseTransactResponse(rsp)
 }
 
+// ParseGetAuditResponse parses an HTTP response from a GetAuditWithResponse call
+func ParseGetAuditResponse(rsp *http.Response) (*GetAuditResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &GetAuditResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest Audit
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	}
+
+	return response, nil
+}
+
 // ParseSetFaultsResponse parses an HTTP response from a SetFaultsWithResponse call
 func ParseSetFaultsResponse(rsp *http.Response) (*SetFaultsResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -1996,6 +2133,9 @@
 // ServerInterface represents all server handlers.
 type ServerInterface interface {
 
+	// (GET /v1/audit)
+	GetAudit(w http.ResponseWriter, r *http.Request)
+
 	// (PUT /v1/faults)
 	SetFaults(w http.ResponseWriter, r *http.Request)
 
@@ -2033,6 +2173,20 @@
 
 type MiddlewareFunc func(http.Handler) http.Handler
 
+// GetAudit operation middleware
+func (siw *ServerInterfaceWrapper) GetAudit(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.GetAudit(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 // SetFaults operation middleware
 func (siw *ServerInterfaceWrapper) SetFaults(w http.ResponseWriter, r *http.Request) {
 
@@ -2373,9 +2527,32 @@
 
 	r.HandleFunc(options.BaseURL+"/v1/faults", wrapper.SetFaults).Methods(http.MethodPut)
 
+	r.HandleFunc(options.BaseURL+"/v1/audit", wrapper.GetAudit).Methods(http.MethodGet)
+
 	return r
 }
 
+type GetAuditRequestObject struct {
+}
+
+type GetAuditResponseObject interface {
+	VisitGetAuditResponse(w http.ResponseWriter) error
+}
+
+type GetAudit200JSONResponse Audit
+
+func (response GetAudit200JSONResponse) VisitGetAuditResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 type SetFaultsRequestObject struct {
 	Body *SetFaultsJSONRequestBody
 }
@@ -2585,6 +2762,9 @@
 // StrictServerInterface represents all server handlers.
 type StrictServerInterface interface {
 
+	// (GET /v1/audit)
+	GetAudit(ctx context.Context, request GetAuditRequestObject) (GetAuditResponseObject, error)
+
 	// (PUT /v1/faults)
 	SetFaults(ctx context.Context, request SetFaultsRequestObject) (SetFaultsResponseObject, error)
 
@@ -2652,6 +2832,30 @@
 	options     StrictHTTPServerOptions
 }
 
+// GetAudit operation middleware
+func (sh *strictHandler) GetAudit(w http.ResponseWriter, r *http.Request) {
+	var request GetAuditRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.GetAudit(ctx, request.(GetAuditRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "GetAudit")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(GetAuditResponseObject); ok {
+		if err := validResponse.VisitGetAuditResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
+
 // SetFaults operation middleware
 func (sh *strictHandler) SetFaults(w http.ResponseWriter, r *http.Request) {
 	var request SetFaultsRequestObject
--- /dev/null
+++ b/shared/logger/logger.go
@@ -0,0 +1,54 @@
+// Package logger writes one line of key=value pairs for each event.
+package logger
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+// New returns a logger for one instance that writes to w the events of level and above.
+// Levels are those of the settings: debug, info, warn, error.
+func New(w io.Writer, level string, in identifier.Instance) (zerolog.Logger, error) {
+	lv, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	return zerolog.New(writer(w)).Level(lv).With().Timestamp().Str("instance", string(in)).Logger(), nil
+}
+
+// writer turns zerolog's JSON into key=value pairs.
+func writer(w io.Writer) zerolog.ConsoleWriter {
+	return zerolog.ConsoleWriter{
+		Out:              w,
+		NoColor:          true,
+		FormatTimestamp:  pair("time"),
+		FormatLevel:      pair("level"),
+		FormatMessage:    pair("event"),
+		FormatFieldName:  func(name any) string { return fmt.Sprintf("%s=", name) },
+		FormatFieldValue: value,
+	}
+}
+
+func pair(name string) zerolog.Formatter {
+	return func(val any) string {
+		if val == nil {
+			return ""
+		}
+		return name + "=" + value(val)
+	}
+}
+
+// value quotes what could be taken for more than one word.
+func value(val any) string {
+	text := fmt.Sprint(val)
+	if strings.ContainsAny(text, " =\"\n") && !strings.HasPrefix(text, `"`) {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- /dev/null
+++ b/shared/placer/hold.go
@@ -0,0 +1,166 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+// Ends tells when a running gang is expected to end.
+type Ends func(ga *Gang) clock.Millis
+
+// Backfill places a borrowed gang on held accelerators too. The caller makes sure that
+// the gang ends before the holds are needed.
+func (zo *Zone) Backfill(job identifier.Job, ws identifier.Workspace, sh Shape) (Placement, bool) {
+	bl, found := zo.find(sh, func(wo *worker) meter.Accelerators { return wo.free() })
+	return Placement{Job: job, Workspace: ws, Block: bl}, found
+}
+
+// Earliest returns the block for a waiting gang that is expected to be free first, and
+// the moment, now or later. Accelerators held for others do not count.
+func (zo *Zone) Earliest(sh Shape, now clock.Millis, ends Ends) (Block, clock.Millis, bool) {
+	var best Block
+	var bestAt clock.Millis
+	found := false
+	gangs := zo.byEnd(ends)
+	for _, part := range zo.parts(sh) {
+		bl, at, ok := zo.freeAt(sh, part, gangs, now, ends)
+		if ok && (!found || at < bestAt) {
+			best, bestAt, found = bl, at, true
+		}
+	}
+	return best, bestAt, found
+}
+
+// byEnd returns the gangs in the order of their expected ends.
+func (zo *Zone) byEnd(ends Ends) []*Gang {
+	gangs := zo.Gangs()
+	slices.SortStableFunc(gangs, func(a, b *Gang) int { return int(ends(a) - ends(b)) })
+	return gangs
+}
+
+// parts returns the sets of workers within which the members must lie.
+func (zo *Zone) parts(sh Shape) [][]int {
+	switch sh.Adjacency {
+	case OneWorker:
+		parts := make([][]int, len(zo.workers))
+		for i := range parts {
+			parts[i] = []int{i}
+		}
+		return parts
+	case OneRack:
+		parts := make([][]int, len(zo.racks))
+		for i := range parts {
+			parts[i] = zo.racks[i].workers
+		}
+		return parts
+	default:
+		all := make([]int, len(zo.workers))
+		for i := range all {
+			all[i] = i
+		}
+		return [][]int{all}
+	}
+}
+
+// freeAt plays the ends of the gangs until the part has room for the shape.
+func (zo *Zone) freeAt(sh Shape, part []int, gangs []*Gang, now clock.Millis, ends Ends) (Block, clock.Millis, bool) {
+	room := map[int]meter.Accelerators{}
+	fits, wanted := 0, int(sh.Members)
+	capacity := 0
+	for _, index := range part {
+		wo := &zo.workers[index]
+		if !wo.usable {
+			continue
+		}
+		capacity += int((wo.total - wo.held) / sh.Accelerators)
+		room[index] = wo.free() - wo.held
+		fits += int(max(room[index], 0) / sh.Accelerators)
+	}
+	if capacity < wanted {
+		return Block{}, 0, false
+	}
+	at := now
+	for _, ga := range gangs {
+		if fits >= wanted {
+			break
+		}
+		for _, sr := range ga.Block.Shares {
+			before, inPart := room[sr.Worker]
+			if !inPart {
+				continue
+			}
+			after := before + ga.Block.Shape.accelerators(sr)
+			room[sr.Worker] = after
+			fits += int(max(after, 0)/sh.Accelerators) - int(max(before, 0)/sh.Accelerators)
+			at = max(at, ends(ga))
+		}
+	}
+	return takeRoom(sh, part, room), at, fits >= wanted
+}
+
+// takeRoom puts the members where there is the most room.
+func takeRoom(sh Shape, part []int, room map[int]meter.Accelerators) Block {
+	order := slices.Clone(part)
+	slices.SortStableFunc(order, func(a, b int) int { return int(room[b] - room[a]) })
+	bl := Block{Shape: sh}
+	missing := int(sh.Members)
+	for _, index := range order {
+		take := min(missing, int(max(room[index], 0)/sh.Accelerators))
+		if take > 0 {
+			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
+			missing -= take
+		}
+	}
+	return bl
+}
+
+// Evict finds the block and the borrowed gangs, of those that may be chosen, whose
+// preemption loses the least and lets a borrowed gang of the shape start.
+func (zo *Zone) Evict(job identifier.Job, ws identifier.Workspace, sh Shape, may func(*Gang) bool, lost Lost) (Placement, int64, bool) {
+	users := make([][]*Gang, len(zo.workers))
+	movable := make([]meter.Accelerators, len(zo.workers))
+	for index, gangs := range zo.borrowers() {
+		for _, ga := range gangs {
+			if may(ga) {
+				users[index] = append(users[index], ga)
+				movable[index] += ga.on(index)
+			}
+		}
+	}
+	best := candidate{}
+	found := false
+	for _, part := range zo.parts(sh) {
+		bl, ok := zo.evictable(sh, part, movable)
+		if !ok {
+			continue
+		}
+		if ca := zo.weigh(bl, sh, users, lost); !found || ca.lost < best.lost {
+			best, found = ca, true
+		}
+	}
+	return Placement{Job: job, Workspace: ws, Block: best.block, Victims: best.victims}, best.lost, found
+}
+
+// evictable fills the workers of a part that have the most free, counting what could go.
+func (zo *Zone) evictable(sh Shape, part []int, movable []meter.Accelerators) (Block, bool) {
+	order := slices.Clone(part)
+	slices.SortStableFunc(order, func(a, b int) int { return int(movable[a] - movable[b]) })
+	bl := Block{Shape: sh}
+	missing := int(sh.Members)
+	for _, index := range order {
+		wo := &zo.workers[index]
+		if !wo.usable {
+			continue
+		}
+		room := wo.free() + movable[index] - wo.held
+		take := min(missing, int(max(room, 0)/sh.Accelerators))
+		if take > 0 {
+			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
+			missing -= take
+		}
+	}
+	return bl, missing == 0
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,105 @@
+// Package platform is a stand-in for the services of the platform: the transactional
+// table service, the object store, the lagging list of targets and the tasks of the
+// workers. It lives in memory, keeps no promise beyond its process, and injects faults
+// on command.
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/locker"
+)
+
+const (
+	// ZoneHeader carries the availability zone of the caller, so that a cut can be played.
+	ZoneHeader = "Wagtailcroft-Zone"
+	// InstanceHeader carries the entry instance that calls.
+	InstanceHeader = "Wagtailcroft-Instance"
+)
+
+// Platform holds the state of all services behind one mutex.
+type Platform struct {
+	clock clock.Clock
+
+	mu locker.Mutex
+	// tables is guarded by mu.
+	tables tableSet
+	// objects is guarded by mu. An object is never changed once stored.
+	objects map[string]string
+	// inventory is guarded by mu.
+	inventory inventory
+	// tasks is guarded by mu.
+	tasks taskSet
+	// faults is guarded by mu.
+	faults platform.Faults
+	// audit is guarded by mu.
+	audit platform.Audit
+}
+
+// New returns the services for the targets of the layout.
+func New(cl clock.Clock, la Layout) *Platform {
+	pl := &Platform{
+		clock:   cl,
+		mu:      locker.New(locker.RankPlatform),
+		tables:  newTableSet(),
+		objects: map[string]string{},
+		tasks:   newTaskSet(la),
+	}
+	pl.inventory = newInventory(la)
+	return pl
+}
+
+// Handler serves the platform API.
+func (pl *Platform) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.Use(pl.faulty)
+	return platform.HandlerFromMux(platform.NewStrictHandler(pl, nil), router)
+}
+
+// PutObject stores an object; storing another body under a used name is refused.
+func (pl *Platform) PutObject(_ context.Context, req platform.PutObjectRequestObject) (platform.PutObjectResponseObject, error) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if _, used := pl.objects[req.Body.Name]; !used {
+		pl.objects[req.Body.Name] = req.Body.Body
+	}
+	return platform.PutObject200JSONResponse{Name: req.Body.Name}, nil
+}
+
+// GetObject returns an object.
+func (pl *Platform) GetObject(_ context.Context, req platform.GetObjectRequestObject) (platform.GetObjectResponseObject, error) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	body, found := pl.objects[req.Params.Name]
+	if !found {
+		return platform.GetObject404Response{}, nil
+	}
+	return platform.GetObject200JSONResponse{Name: req.Params.Name, Body: body}, nil
+}
+
+// GetAudit returns what really happened.
+func (pl *Platform) GetAudit(context.Context, platform.GetAuditRequestObject) (platform.GetAuditResponseObject, error) {
+	return platform.GetAudit200JSONResponse(pl.Audit()), nil
+}
+
+// Audit returns what really happened since the start.
+func (pl *Platform) Audit() platform.Audit {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.settle()
+	audit := pl.audit
+	audit.HalfRunning = pl.tasks.halfRunning()
+	audit.LongestHalfMillis = pl.tasks.longestHalf(pl.clock.Now())
+	return audit
+}
+
+// CutZones changes the zones that get no answer.
+func (pl *Platform) CutZones(zones ...identifier.Zone) {
+	pl.Change(func(fa *platform.Faults) { fa.CutZones = zones })
+}
