--- /dev/null
+++ b/demo/player/jobs.go
@@ -0,0 +1,68 @@
+package player
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+const (
+	declaredRun = 2000 // milliseconds
+	payload     = `{"runMillis":400}`
+)
+
+// runJobs submits every gang job and reads its whole result.
+func (pl *Player) runJobs(ctx context.Context) error {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	li := Line{What: "gang jobs"}
+	began := time.Now()
+	for number, ws := range pl.play.Workspaces {
+		for i, shape := range ws.Jobs {
+			li.Asked++
+			wait.Go(func() {
+				whole := pl.runJob(ctx, (number+i)%len(pl.cluster.Daemons), ws.ID, i, shape)
+				mu.Lock()
+				defer mu.Unlock()
+				if whole {
+					li.Whole++
+				}
+			})
+		}
+	}
+	wait.Wait()
+	li.Detail = fmt.Sprintf("in %d ms", time.Since(began).Milliseconds())
+	return pl.add(li)
+}
+
+// runJob reports whether the job was done and its result holds one part for each member.
+func (pl *Player) runJob(ctx context.Context, number int, ws identifier.Workspace, i int, shape types.Shape) bool {
+	client, err := pl.cluster.Caller(number, Token(ws))
+	if err != nil {
+		return false
+	}
+	job, err := client.SubmitJobWithResponse(ctx, caller.JobBody{
+		Key:            identifier.Key(fmt.Sprintf("job-%d", i)),
+		Kind:           pl.play.JobKinds[i%len(pl.play.JobKinds)],
+		Class:          types.ClassNormal,
+		Shape:          shape,
+		ExpectedMillis: declaredRun,
+		Payload:        payload,
+	})
+	if err != nil || job.JSON202 == nil {
+		return false
+	}
+	wait := jobWait
+	got, err := client.GetJobWithResponse(ctx, job.JSON202.JobID, &caller.GetJobParams{WaitMillis: wait})
+	if err != nil || got.JSON200 == nil || got.JSON200.Outcome != types.OutcomeDone {
+		return false
+	}
+	result, err := client.GetJobResultWithResponse(ctx, job.JSON202.JobID)
+	return err == nil && result.JSON200 != nil && meter.Members(len(result.JSON200.Parts)) == shape.Members
+}
--- /dev/null
+++ b/demo/player/player.go
@@ -0,0 +1,265 @@
+// Package player plays the work of a deployment against entry instances and checks every
+// answer.
+package player
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/demo/launcher"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+const (
+	requestTimeout = 5 * clock.Second
+	jobWait        = 20 * clock.Second
+	startWait      = 15 * time.Second
+	pollPause      = 50 * time.Millisecond
+	inForceBound   = 4 * clock.Second
+)
+
+type (
+	// Play is the work of one deployment.
+	Play struct {
+		Name       string
+		Workspaces []Workspace
+		// RequestKind and JobKinds name the work as the users do.
+		RequestKind caller.RequestBodyKind
+		JobKinds    []caller.JobBodyKind
+		Requests    int
+	}
+
+	// Workspace is one workspace and its work.
+	Workspace struct {
+		ID    identifier.Workspace
+		Cells types.Cells
+		Jobs  []types.Shape
+	}
+
+	// Line is one line of what happened.
+	Line struct {
+		What   string
+		Asked  int
+		Whole  int
+		Detail string
+	}
+
+	// Player plays against a cluster.
+	Player struct {
+		cluster *launcher.Cluster
+		play    Play
+		lines   []Line
+	}
+)
+
+// New returns a player.
+func New(cl *launcher.Cluster, pl Play) *Player { return &Player{cluster: cl, play: pl} }
+
+// Token is the bearer token of a workspace in the demo.
+func Token(ws identifier.Workspace) string { return "token-of-" + string(ws) }
+
+// Run plays everything and returns what happened, with an error if anything was not whole.
+func (pl *Player) Run(ctx context.Context) ([]Line, error) {
+	steps := []func(context.Context) error{pl.setTable, pl.sendRequests, pl.sendTwice, pl.runJobs, pl.changeRow}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return pl.lines, err
+		}
+	}
+	return pl.lines, pl.audit()
+}
+
+func (pl *Player) add(li Line) error {
+	pl.lines = append(pl.lines, li)
+	if li.Asked != li.Whole {
+		return eris.Errorf("%s: %d of %d were whole", li.What, li.Whole, li.Asked)
+	}
+	return nil
+}
+
+// setTable creates the row of each workspace.
+func (pl *Player) setTable(ctx context.Context) error {
+	client, err := pl.cluster.Operator(0)
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(startWait)
+	li := Line{What: "rows set", Asked: len(pl.play.Workspaces)}
+	for _, ws := range pl.play.Workspaces {
+		edit := operator.RowEdit{Cells: ws.Cells, Author: "demo"}
+		an, err := client.SetRowWithResponse(ctx, ws.ID, &operator.SetRowParams{}, edit)
+		if err != nil {
+			return eris.Wrap(err, "set a row")
+		}
+		if an.JSON200 == nil {
+			return eris.Errorf("set row %s: %s", ws.ID, an.Body)
+		}
+		li.Whole++
+	}
+	if err := pl.add(li); err != nil {
+		return err
+	}
+	return pl.awaitInForce(ctx, deadline)
+}
+
+// awaitInForce waits until every instance has the newest table in force.
+func (pl *Player) awaitInForce(ctx context.Context, deadline time.Time) error {
+	newest := meter.TableVersion(0)
+	for _, da := range pl.cluster.Daemons {
+		newest = max(newest, da.Table.Version())
+	}
+	for {
+		behind := 0
+		for _, da := range pl.cluster.Daemons {
+			if da.Table.Version() < newest || !da.Table.Confirmed() || da.Leases.Seats() == 0 {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return eris.Errorf("%d instances are behind table version %d", behind, newest)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// sendRequests sends requests to all instances at once and checks that each answer is the
+// whole answer to its own request.
+func (pl *Player) sendRequests(ctx context.Context) error {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	li := Line{What: fmt.Sprintf("%s requests", pl.play.RequestKind), Asked: pl.play.Requests}
+	began := time.Now()
+	perSender := pl.play.Requests / len(pl.cluster.Daemons)
+	for number := range pl.cluster.Daemons {
+		wait.Go(func() {
+			whole := 0
+			for i := range perSender {
+				if pl.sendOne(ctx, number, fmt.Sprintf("request-%d-%d", number, i)) {
+					whole++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			li.Whole += whole
+		})
+	}
+	wait.Wait()
+	li.Asked = perSender * len(pl.cluster.Daemons)
+	li.Detail = fmt.Sprintf("in %d ms", time.Since(began).Milliseconds())
+	return pl.add(li)
+}
+
+func (pl *Player) body(key, payload string) caller.RequestBody {
+	return caller.RequestBody{
+		Key:           identifier.Key(key),
+		Kind:          pl.play.RequestKind,
+		Class:         types.ClassNormal,
+		TimeoutMillis: requestTimeout,
+		Payload:       payload,
+	}
+}
+
+func (pl *Player) sendOne(ctx context.Context, number int, key string) bool {
+	ws := pl.play.Workspaces[number%len(pl.play.Workspaces)]
+	client, err := pl.cluster.Caller(number, Token(ws.ID))
+	if err != nil {
+		return false
+	}
+	payload := "work of " + key
+	an, err := client.SendRequestWithResponse(ctx, pl.body(key, payload))
+	return err == nil && an.JSON200 != nil && an.JSON200.Payload == "answer to "+payload
+}
+
+// sendTwice sends the same key to two instances at the same moment: both get the answer,
+// and the runners run it once.
+func (pl *Player) sendTwice(ctx context.Context) error {
+	ws := pl.play.Workspaces[0]
+	li := Line{What: "same key at two instances", Asked: 20}
+	ran := 0
+	for i := range li.Asked {
+		key := identifier.Key(fmt.Sprintf("twice-%d", i))
+		if pl.sendBoth(ctx, ws.ID, string(key)) {
+			li.Whole++
+		}
+		for _, runners := range pl.cluster.Runners {
+			for _, ru := range runners {
+				ran += ru.Runs(ws.ID, key)
+			}
+		}
+	}
+	li.Detail = fmt.Sprintf("run %d times", ran)
+	if ran != li.Asked {
+		return eris.Errorf("%d requests were run %d times", li.Asked, ran)
+	}
+	return pl.add(li)
+}
+
+func (pl *Player) sendBoth(ctx context.Context, ws identifier.Workspace, key string) bool {
+	var wait sync.WaitGroup
+	whole := make([]bool, 2)
+	for side := range whole {
+		number := side * (len(pl.cluster.Daemons) - 1)
+		wait.Go(func() {
+			client, err := pl.cluster.Caller(number, Token(ws))
+			if err != nil {
+				return
+			}
+			an, err := client.SendRequestWithResponse(ctx, pl.body(key, key))
+			whole[side] = err == nil && an.JSON200 != nil && an.JSON200.Payload == "answer to "+key
+		})
+	}
+	wait.Wait()
+	return whole[0] && whole[1]
+}
+
+// changeRow changes one row and sees it in force everywhere.
+func (pl *Player) changeRow(ctx context.Context) error {
+	client, err := pl.cluster.Operator(len(pl.cluster.Daemons) - 1)
+	if err != nil {
+		return err
+	}
+	table, err := client.GetTableWithResponse(ctx)
+	if err != nil || table.JSON200 == nil {
+		return eris.Errorf("get the table: %v", err)
+	}
+	row := table.JSON200.Rows[0]
+	row.Cells.Weight++
+	began := time.Now()
+	an, err := client.SetRowWithResponse(ctx, row.Workspace, &operator.SetRowParams{}, operator.RowEdit{ExpectedVersion: row.RowVersion, Cells: row.Cells, Author: "demo"})
+	if err != nil || an.JSON200 == nil || len(an.JSON200.Changes) != 1 {
+		return eris.Errorf("change one cell: %v", err)
+	}
+	if err := pl.awaitInForce(ctx, began.Add(inForceBound.Duration())); err != nil {
+		return err
+	}
+	return pl.add(Line{What: "row changed, in force everywhere", Asked: 1, Whole: 1, Detail: fmt.Sprintf("in %d ms", time.Since(began).Milliseconds())})
+}
+
+// audit asks the stand-in what really ran.
+func (pl *Player) audit() error {
+	audit := pl.cluster.Platform.Audit()
+	pl.lines = append(pl.lines, Line{
+		What:   "gangs that ran in part",
+		Detail: fmt.Sprintf("%d half running, %d overlapping, longest %d ms", audit.HalfRunning, audit.Overlapping, audit.LongestHalfMillis),
+	})
+	if audit.HalfRunning != 0 || audit.Overlapping != 0 {
+		return eris.New("a gang ran in part")
+	}
+	return nil
+}
--- a/shared/admitter/admitter.go
+++ b/shared/admitter/admitter.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	smoothing  = 8                  // one over the weight of the newest service time
-	retryAfter = clock.Second       // told to callers that were refused for load
+	smoothing  = 8                   // one over the weight of the newest service time
+	retryAfter = clock.Second        // told to callers that were refused for load
 	firstGuess = 5 * clock.Millis(1) // service time before any was seen
 )
 
--- a/shared/clock/clock.go
+++ b/shared/clock/clock.go
@@ -26,6 +26,8 @@
 		Now() Millis
 		// After returns a channel that receives once, d from now.
 		After(d Millis) <-chan struct{}
+		// Bound returns a context that ends d from now at the latest.
+		Bound(ctx context.Context, d Millis) (context.Context, context.CancelFunc)
 	}
 
 	// System is the clock of the machine.
@@ -64,6 +66,11 @@
 	return ch
 }
 
+// Bound returns a context that ends d from now at the latest.
+func (sy *System) Bound(ctx context.Context, d Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d.Duration())
+}
+
 // NewFake returns a clock that stands at start.
 func NewFake(start Millis) *Fake { return &Fake{now: start} }
 
@@ -87,6 +94,20 @@
 	return ch
 }
 
+// Bound returns a context that ends once the clock has been moved by d.
+func (fa *Fake) Bound(ctx context.Context, d Millis) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timeout := fa.After(d)
+	go func() {
+		select {
+		case <-timeout:
+			cancel(context.DeadlineExceeded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
 // Advance moves the clock by d and wakes those whose moment has come.
 func (fa *Fake) Advance(d Millis) {
 	fa.mu.Lock()
--- a/shared/estimator/estimator.go
+++ b/shared/estimator/estimator.go
@@ -42,12 +42,12 @@
 func New() *Estimator { return &Estimator{histories: map[Kind]history{}} }
 
 // Learn records that work declared to take one time took another.
-func (es *Estimator) Learn(ki Kind, declared, real clock.Millis) {
+func (es *Estimator) Learn(ki Kind, declared, took clock.Millis) {
 	hi, known := es.histories[ki]
 	if !known && len(es.histories) >= mostHistories {
 		return
 	}
-	ratio := float64(max(real, 1)) / float64(max(declared, 1))
+	ratio := float64(max(took, 1)) / float64(max(declared, 1))
 	seen := math.Log(min(max(ratio, 1/largestRatio), largestRatio))
 	rate := max(learningRate, 1/float64(hi.count+1))
 	hi.logRatio += rate * (seen - hi.logRatio)
--- a/shared/gen/caller/caller.go
+++ b/shared/gen/caller/caller.go
@@ -124,9 +124,12 @@
 	ExpectedMillis externalRef0.Millis `json:"expectedMillis" validate:"min=1,max=2592000000"`
 
 	// Key Chosen by the caller; one key is run at most once.
-	Key     externalRef0.IdempotencyKey `json:"key" validate:"required,max=128,printascii"`
-	Kind    JobBodyKind                 `json:"kind" validate:"oneof=practiceSet certificatePack reRender archiveBatch"`
-	Payload string                      `json:"payload" validate:"max=262144"`
+	Key  externalRef0.IdempotencyKey `json:"key" validate:"required,max=128,printascii"`
+	Kind JobBodyKind                 `json:"kind" validate:"oneof=practiceSet certificatePack reRender archiveBatch"`
+
+	// Once An attempt that has started is never repeated, only continued from a checkpoint.
+	Once    bool   `json:"once,omitempty"`
+	Payload string `json:"payload" validate:"max=262144"`
 
 	// Shape The accelerators that a gang needs and how close they must be.
 	Shape externalRef0.Shape `json:"shape"`
--- a/shared/gen/platform/platform.go
+++ b/shared/gen/platform/platform.go
@@ -43,27 +43,27 @@
 	}
 }
 
-// Defines values for TaskReportState.
+// Defines values for TaskState.
 const (
-	TaskReportStateFailed   TaskReportState = "failed"
-	TaskReportStateFinished TaskReportState = "finished"
-	TaskReportStateLeased   TaskReportState = "leased"
-	TaskReportStateRunning  TaskReportState = "running"
-	TaskReportStateStopped  TaskReportState = "stopped"
+	TaskStateFailed   TaskState = "failed"
+	TaskStateFinished TaskState = "finished"
+	TaskStateLeased   TaskState = "leased"
+	TaskStateRunning  TaskState = "running"
+	TaskStateStopped  TaskState = "stopped"
 )
 
-// Valid indicates whether the value is a known member of the TaskReportState enum.
-func (e TaskReportState) Valid() bool {
+// Valid indicates whether the value is a known member of the TaskState enum.
+func (e TaskState) Valid() bool {
 	switch e {
-	case TaskReportStateFailed:
+	case TaskStateFailed:
 		return true
-	case TaskReportStateFinished:
+	case TaskStateFinished:
 		return true
-	case TaskReportStateLeased:
+	case TaskStateLeased:
 		return true
-	case TaskReportStateRunning:
+	case TaskStateRunning:
 		return true
-	case TaskReportStateStopped:
+	case TaskStateStopped:
 		return true
 	default:
 		return false
@@ -266,7 +266,7 @@
 	// JobID Names one gang job.
 	JobID  externalRef0.JobID `json:"jobId"`
 	Output string             `json:"output,omitempty"`
-	State  TaskReportState    `json:"state"`
+	State  TaskState          `json:"state"`
 
 	// Task Names one member of one attempt of a gang job.
 	Task externalRef0.TaskID `json:"task"`
@@ -275,9 +275,6 @@
 	Worker externalRef0.WorkerID `json:"worker"`
 }
 
-// TaskReportState defines model for TaskReport.State.
-type TaskReportState string
-
 // TaskReports defines model for TaskReports.
 type TaskReports struct {
 	Reports  []TaskReport `json:"reports"`
@@ -286,8 +283,9 @@
 
 // TaskResult defines model for TaskResult.
 type TaskResult struct {
-	Accepted bool   `json:"accepted"`
-	Reason   string `json:"reason"`
+	Accepted bool      `json:"accepted"`
+	Reason   string    `json:"reason"`
+	State    TaskState `json:"state,omitempty"`
 
 	// Task Names one member of one attempt of a gang job.
 	Task externalRef0.TaskID `json:"task"`
@@ -300,6 +298,9 @@
 	Results []TaskResult `json:"results"`
 }
 
+// TaskState defines model for TaskState.
+type TaskState string
+
 // TransactResult When applied, version is that of every row written.
 type TransactResult struct {
 	Applied bool `json:"applied"`
--- a/shared/gen/rows/rows.go
+++ b/shared/gen/rows/rows.go
@@ -4,6 +4,8 @@
 package rows
 
 import (
+	"encoding/json"
+
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
@@ -31,6 +33,27 @@
 	}
 }
 
+// Defines values for JobRowNext.
+const (
+	JobRowNextCancelled JobRowNext = "cancelled"
+	JobRowNextFailed    JobRowNext = "failed"
+	JobRowNextQueued    JobRowNext = "queued"
+)
+
+// Valid indicates whether the value is a known member of the JobRowNext enum.
+func (e JobRowNext) Valid() bool {
+	switch e {
+	case JobRowNextCancelled:
+		return true
+	case JobRowNextFailed:
+		return true
+	case JobRowNextQueued:
+		return true
+	default:
+		return false
+	}
+}
+
 // Defines values for JobRowState.
 const (
 	JobRowStateCancelled JobRowState = "cancelled"
@@ -89,6 +112,23 @@
 	Target externalRef0.TargetID `json:"target"`
 }
 
+// Envelope What every stored value is wrapped in. The transaction id tells after a lost answer whether the transaction took effect.
+type Envelope struct {
+	Row json.RawMessage `json:"row"`
+
+	// TransactionID Names one transaction of the table service.
+	TransactionID externalRef0.TransactionID `json:"transactionId"`
+}
+
+// FenceRow Table leases, key ZONE/fence. Written with each taking of the scheduler lease and never renewed; commits of the scheduler are conditioned on its version.
+type FenceRow struct {
+	// Epoch Fencing token of a lease; only rises.
+	Epoch externalRef0.LeaseEpoch `json:"epoch"`
+
+	// Holder Names an entry instance.
+	Holder externalRef0.InstanceID `json:"holder"`
+}
+
 // HistoryRow Table history, key VERSION in 12 digits. Written once with the edit.
 type HistoryRow struct {
 	Author  string                    `json:"author"`
@@ -97,14 +137,11 @@
 	// TableVersion Version of the whole shared table; only rises.
 	TableVersion externalRef0.TableVersion `json:"tableVersion"`
 
-	// TransactionID Names one transaction of the table service.
-	TransactionID externalRef0.TransactionID `json:"transactionId"`
-
 	// Workspace Names a workspace, 1 to 63 characters.
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
 
-// JobKeyRow Table jobKeys, key WORKSPACE/KEY. Created in the transaction that creates the JobRow, never changed.
+// JobKeyRow Table jobKeys, key JOB. Created in the transaction that creates the JobRow, never changed.
 type JobKeyRow struct {
 	BodyDigest string `json:"bodyDigest"`
 
@@ -115,12 +152,14 @@
 	Zone externalRef0.ZoneID `json:"zone"`
 }
 
-// JobRow Table jobs, key ZONE/JOB. Changed by the holder of the scheduler lease of the zone under its epoch, or by a cancel that sets cancelAsked.
+// JobRow Table jobs, key ZONE/JOB, and once it has ended table ended under the same key. Changed by the holder of the scheduler lease of the zone under its epoch, or by a cancel that sets cancelAsked.
 type JobRow struct {
 	// Attempt Rises with each placement.
-	Attempt     int32  `json:"attempt"`
-	BodyDigest  string `json:"bodyDigest"`
-	CancelAsked bool   `json:"cancelAsked,omitempty"`
+	Attempt    int32  `json:"attempt"`
+	BodyDigest string `json:"bodyDigest"`
+
+	// CancelAsked Set by any instance; acted upon by the holder of the scheduler lease.
+	CancelAsked bool `json:"cancelAsked,omitempty"`
 
 	// Class Urgent work overtakes normal work.
 	Class externalRef0.Class `json:"class"`
@@ -132,6 +171,9 @@
 	ExpectedMillis externalRef0.Millis `json:"expectedMillis"`
 	Failures       int32               `json:"failures,omitempty"`
 
+	// Fixed The current attempt may not be preempted.
+	Fixed bool `json:"fixed,omitempty"`
+
 	// Guaranteed The current attempt uses a guaranteed shape and is never preempted.
 	Guaranteed bool `json:"guaranteed,omitempty"`
 
@@ -142,6 +184,12 @@
 	Key  externalRef0.IdempotencyKey `json:"key"`
 	Kind string                      `json:"kind"`
 
+	// Next The state that follows stopping.
+	Next JobRowNext `json:"next,omitempty"`
+
+	// Once An attempt that has started is never repeated, only continued from a checkpoint.
+	Once bool `json:"once,omitempty"`
+
 	// Outcome What became of a request or a job; unknown is never shown as one of the others.
 	Outcome     externalRef0.Outcome `json:"outcome,omitempty"`
 	Payload     string               `json:"payload"`
@@ -152,8 +200,11 @@
 	Shape externalRef0.Shape `json:"shape"`
 
 	// Started Some attempt may have started; a job that ends with started unset is notRun.
-	Started bool        `json:"started,omitempty"`
-	State   JobRowState `json:"state"`
+	Started bool `json:"started,omitempty"`
+
+	// StartedAt When the current attempt was started.
+	StartedAt externalRef0.Millis `json:"startedAt,omitempty"`
+	State     JobRowState         `json:"state"`
 
 	// SubmittedAt Wall time of the accepting instance.
 	SubmittedAt externalRef0.Millis `json:"submittedAt"`
@@ -168,10 +219,13 @@
 	Zone externalRef0.ZoneID `json:"zone"`
 }
 
+// JobRowNext The state that follows stopping.
+type JobRowNext string
+
 // JobRowState defines model for JobRow.State.
 type JobRowState string
 
-// LeaseRow Table leases, key ZONE/scheduler or ZONE/seat/N. Commits of placements are conditioned on the version of the scheduler lease; the holder of seat N may use its equal share of the slots and connections of each runner of the zone.
+// LeaseRow Table leases, key ZONE/scheduler or ZONE/seat/N. An empty holder gave the lease up. The holder of seat N may use its equal share of the slots and connections of each runner of the zone.
 type LeaseRow struct {
 	// Epoch Fencing token of a lease; only rises.
 	Epoch externalRef0.LeaseEpoch `json:"epoch"`
@@ -183,10 +237,9 @@
 
 // LedgerRow Table ledgers, key ZONE. Rewritten by each commit that places or frees work that may not be preempted, so that an edit of the shared table can be conditioned on it.
 type LedgerRow struct {
-	Commits int64 `json:"commits"`
-
 	// Epoch Fencing token of a lease; only rises.
-	Epoch externalRef0.LeaseEpoch `json:"epoch"`
+	Epoch        externalRef0.LeaseEpoch `json:"epoch"`
+	Reservations []ReservationCell       `json:"reservations"`
 }
 
 // MemberRow Table members, key INSTANCE. Written each second by that instance alone, on condition that the head of the shared table is still the one in force there.
@@ -205,13 +258,25 @@
 	Zone externalRef0.ZoneID `json:"zone"`
 }
 
+// ReservationCell Where one guaranteed gang can be obtained.
+type ReservationCell struct {
+	// Shape The accelerators that a gang needs and how close they must be.
+	Shape externalRef0.Shape `json:"shape"`
+
+	// User The job that uses the reservation.
+	User externalRef0.JobID `json:"user,omitempty"`
+
+	// Workers One worker for each member; empty while too few accelerators are left.
+	Workers []externalRef0.WorkerID `json:"workers"`
+
+	// Workspace Names a workspace, 1 to 63 characters.
+	Workspace externalRef0.WorkspaceID `json:"workspace"`
+}
+
 // TableHead Table config, key head. Rewritten by every change of table config, which serialises them.
 type TableHead struct {
 	// TableVersion Version of the whole shared table; only rises.
 	TableVersion externalRef0.TableVersion `json:"tableVersion"`
-
-	// TransactionID Names one transaction of the table service.
-	TransactionID externalRef0.TransactionID `json:"transactionId"`
 }
 
 // WorkspaceRow Table config, key workspace/ID. Committed on its own version together with TableHead.
--- a/shared/placer/place.go
+++ b/shared/placer/place.go
@@ -126,7 +126,7 @@
 	zo.gangs[pl.Job] = ga
 	if re := pl.Reservation; re != nil {
 		zo.unreserve(re)
-		re.Block, re.User, re.Short = pl.Reserved, ga, false
+		re.Block, re.User, re.Short = pl.Reserved, ga, len(pl.Reserved.Shares) == 0
 		zo.occupy(ga, 1)
 		zo.reserve(re)
 		return ga
@@ -154,15 +154,16 @@
 	}
 }
 
-// leave moves an unused reservation off workers that get no new work.
+// leave moves an unused reservation off workers that get no new work, and seeks a block
+// for one that has none.
 func (zo *Zone) leave(re *Reservation) {
+	stays := !re.Short
 	for _, sr := range re.Block.Shares {
-		if zo.workers[sr.Worker].usable {
-			continue
-		}
+		stays = stays && zo.workers[sr.Worker].usable
+	}
+	if !stays {
 		zo.clear([]*Reservation{re})
 		zo.pack([]*Reservation{re})
-		return
 	}
 }
 
--- a/shared/placer/reserve.go
+++ b/shared/placer/reserve.go
@@ -42,7 +42,7 @@
 			if re == nil {
 				re = &Reservation{Workspace: gu.Workspace, Shape: gu.Shape, Short: true}
 			}
-			if re.Short {
+			if re.Short && re.User == nil {
 				missing = append(missing, re)
 			}
 			zo.reservations = append(zo.reservations, re)
@@ -244,3 +244,26 @@
 	_, found := zo.find(sh, roomEmpty)
 	return found
 }
+
+// Restore adds a reservation with the block it had before. A block that is no longer
+// there, or no longer has room, is sought anew by the next SetGuarantees.
+func (zo *Zone) Restore(ws identifier.Workspace, sh Shape, ids []identifier.Worker) *Reservation {
+	re := &Reservation{Workspace: ws, Shape: sh, Short: true}
+	zo.reservations = append(zo.reservations, re)
+	bl, known := zo.BlockOf(sh, ids)
+	if !known || len(ids) != int(sh.Members) || !zo.hasRoom(bl) {
+		return re
+	}
+	re.Block, re.Short = bl, false
+	zo.reserve(re)
+	return re
+}
+
+func (zo *Zone) hasRoom(bl Block) bool {
+	for _, sr := range bl.Shares {
+		if zo.fits(sr.Worker, bl.Shape, roomReclaimable) < sr.Members {
+			return false
+		}
+	}
+	return true
+}
--- a/shared/router/router.go
+++ b/shared/router/router.go
@@ -162,21 +162,21 @@
 	if st.Leaving || st.draining || st.openUntil > now {
 		return false
 	}
-	share := ro.share(st)
+	most := share(st, ro.seats)
 	if st.window > 0 {
-		share = min(share, st.window)
+		most = min(most, st.window)
 	}
-	return st.inFlight < share
+	return st.inFlight < most
 }
 
 // share is what this instance may use of a runner: whole slots, and no more than its
 // connections, for each request in flight has a connection of its own.
-func (ro *Router) share(st *state) meter.Slots {
-	if ro.seats.Of == 0 {
+func share(st *state, se Seats) meter.Slots {
+	if se.Of == 0 {
 		return 0
 	}
-	slots := st.Slots / meter.Slots(ro.seats.Of) * meter.Slots(ro.seats.Held)
-	connections := st.Connections / meter.Connections(ro.seats.Of) * meter.Connections(ro.seats.Held)
+	slots := st.Slots / meter.Slots(se.Of) * meter.Slots(se.Held)
+	connections := st.Connections / meter.Connections(se.Of) * meter.Connections(se.Held)
 	return min(slots, meter.Slots(connections))
 }
 
@@ -192,20 +192,20 @@
 	st.inFlight--
 	switch re {
 	case Answered:
-		st.answered(ro.share(st))
+		st.answered(share(st, ro.seats))
 	case Refused:
 	case Broken:
 		st.broken(now)
 	}
 }
 
-func (st *state) answered(share meter.Slots) {
+func (st *state) answered(most meter.Slots) {
 	st.failures, st.openFor = 0, 0
 	if st.window == 0 {
 		return
 	}
 	st.window *= 2
-	if st.window >= share {
+	if st.window >= most {
 		st.window = 0
 	}
 }
@@ -271,3 +271,15 @@
 		return 0
 	}
 }
+
+// Within reports whether no more of any runner is in use than a number of seats allows.
+func (ro *Router) Within(se Seats) bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for _, st := range ro.runners {
+		if st.inFlight > share(st, se) {
+			return false
+		}
+	}
+	return true
+}
--- a/shared/scheduler/reason.go
+++ b/shared/scheduler/reason.go
@@ -47,11 +47,10 @@
 		return nil
 	}
 	re := sc.reasons[id]
-	lines := []string{
+	return append([]string{
 		fmt.Sprintf("waits since %d ms for %s (%d accelerators)", now-jo.Submitted, jo.Shape, jo.Shape.Total()),
 		fmt.Sprintf("is number %d of %d in the line", sc.position(id, now), len(sc.waiting)),
-	}
-	return append(lines, re.lines(now)...)
+	}, re.lines(now)...)
 }
 
 func (sc *Scheduler) whyPlaced(ru Run, now clock.Millis) []string {
--- a/shared/tracker/tracker.go
+++ b/shared/tracker/tracker.go
@@ -45,11 +45,10 @@
 	if ob.changed >= 0 && le.Version <= ob.last.Version {
 		return
 	}
-	ob.last = le
-	ob.changed = now
-	if le.Holder != ob.self || le.Version > 0 && !ob.held {
+	if le.Holder != ob.self || le.Epoch != ob.last.Epoch {
 		ob.held = false
 	}
+	ob.last, ob.changed = le, now
 }
 
 // Won records that this instance wrote the row, by a request that it sent at the time.
--- a/standin/platform/gangs.go
+++ b/standin/platform/gangs.go
@@ -18,7 +18,7 @@
 		job     identifier.Job
 		members meter.Members
 		// states holds the last state of each member that was ever leased.
-		states map[identifier.Task]platform.TaskReportState
+		states map[identifier.Task]platform.TaskState
 		// halfSince is when the present half-running time began; 0 means none.
 		halfSince clock.Millis
 		longest   clock.Millis
@@ -35,11 +35,11 @@
 	key := keyOf(ta.command.Task)
 	ga, found := pl.tasks.gangs[key]
 	if !found {
-		ga = &gang{job: ta.command.JobID, members: ta.command.Members, states: map[identifier.Task]platform.TaskReportState{}}
+		ga = &gang{job: ta.command.JobID, members: ta.command.Members, states: map[identifier.Task]platform.TaskState{}}
 		pl.tasks.gangs[key] = ga
 	}
 	ga.states[ta.command.Task] = ta.state
-	if ta.state == platform.TaskReportStateRunning && !ga.started {
+	if ta.state == platform.TaskStateRunning && !ga.started {
 		ga.started = true
 		pl.audit.GangsStarted++
 		if pl.tasks.runsElsewhere(key, ga.job) {
@@ -66,9 +66,9 @@
 	running, finished := 0, 0
 	for _, state := range ga.states {
 		switch state {
-		case platform.TaskReportStateRunning:
+		case platform.TaskStateRunning:
 			running++
-		case platform.TaskReportStateFinished:
+		case platform.TaskStateFinished:
 			finished++
 		}
 	}
@@ -81,7 +81,7 @@
 			continue
 		}
 		for _, state := range ga.states {
-			if state == platform.TaskReportStateRunning {
+			if state == platform.TaskStateRunning {
 				return true
 			}
 		}
--- a/standin/platform/inventory.go
+++ b/standin/platform/inventory.go
@@ -70,7 +70,7 @@
 }
 
 func (zl ZoneLayout) workers() []platform.InventoryWorker {
-	var workers []platform.InventoryWorker
+	workers := make([]platform.InventoryWorker, 0, zl.Racks*zl.WorkersPerRack)
 	for ra := range zl.Racks {
 		for wo := range zl.WorkersPerRack {
 			workers = append(workers, platform.InventoryWorker{
--- a/standin/platform/tasks.go
+++ b/standin/platform/tasks.go
@@ -37,7 +37,7 @@
 		epochs map[identifier.Zone]meter.LeaseEpoch
 		// heard is the time of the last batch of each zone.
 		heard map[identifier.Zone]clock.Millis
-		tasks map[identifier.Task]*task
+		tasks taskMap
 		// live holds the tasks that are leased or running.
 		live map[identifier.Task]*task
 		// events holds every change of a task in order; its index is the revision.
@@ -47,10 +47,12 @@
 		gangs map[gangKey]*gang
 	}
 
+	taskMap map[identifier.Task]*task
+
 	task struct {
 		command platform.TaskCommand
 		zone    identifier.Zone
-		state   platform.TaskReportState
+		state   platform.TaskState
 		started clock.Millis
 		// ends is when the task finishes or fails by itself, valid while running.
 		ends  clock.Millis
@@ -64,12 +66,20 @@
 	}
 )
 
+// state is that of a task; empty for one that was never leased.
+func (tm taskMap) state(id identifier.Task) platform.TaskState {
+	if ta, found := tm[id]; found {
+		return ta.state
+	}
+	return ""
+}
+
 func newTaskSet(la Layout) taskSet {
 	ts := taskSet{
 		free:   map[identifier.Worker]meter.Accelerators{},
 		epochs: map[identifier.Zone]meter.LeaseEpoch{},
 		heard:  map[identifier.Zone]clock.Millis{},
-		tasks:  map[identifier.Task]*task{},
+		tasks:  taskMap{},
 		live:   map[identifier.Task]*task{},
 		done:   map[identifier.Job]clock.Millis{},
 		gangs:  map[gangKey]*gang{},
@@ -97,7 +107,7 @@
 	for _, co := range req.Body.Commands {
 		pl.audit.TaskCommands++
 		reason := pl.command(req.Body.Zone, co)
-		answer.Results = append(answer.Results, platform.TaskResult{Task: co.Task, Accepted: reason == "", Reason: reason})
+		answer.Results = append(answer.Results, platform.TaskResult{Task: co.Task, Accepted: reason == "", Reason: reason, State: pl.tasks.tasks.state(co.Task)})
 	}
 	return platform.CommandTasks200JSONResponse(answer), nil
 }
@@ -138,7 +148,7 @@
 
 func (pl *Platform) lease(zone identifier.Zone, co platform.TaskCommand) string {
 	if ta, found := pl.tasks.tasks[co.Task]; found {
-		if ta.state == platform.TaskReportStateLeased || ta.state == platform.TaskReportStateRunning || ta.state == platform.TaskReportStateFinished {
+		if ta.state == platform.TaskStateLeased || ta.state == platform.TaskStateRunning || ta.state == platform.TaskStateFinished {
 			return ""
 		}
 		return fmt.Sprintf("the task is %s", ta.state)
@@ -154,7 +164,7 @@
 	ta := &task{command: co, zone: zone}
 	pl.tasks.tasks[co.Task] = ta
 	pl.tasks.live[co.Task] = ta
-	pl.move(ta, platform.TaskReportStateLeased, pl.clock.Now())
+	pl.move(ta, platform.TaskStateLeased, pl.clock.Now())
 	return ""
 }
 
@@ -164,16 +174,16 @@
 		return "the task is not leased"
 	}
 	switch ta.state {
-	case platform.TaskReportStateRunning, platform.TaskReportStateFinished:
+	case platform.TaskStateRunning, platform.TaskStateFinished:
 		return ""
-	case platform.TaskReportStateLeased:
+	case platform.TaskStateLeased:
 	default:
 		return fmt.Sprintf("the task is %s", ta.state)
 	}
 	now := pl.clock.Now()
 	ta.started = now
 	ta.ends, ta.fails = pl.endOf(co, now)
-	pl.move(ta, platform.TaskReportStateRunning, now)
+	pl.move(ta, platform.TaskStateRunning, now)
 	return ""
 }
 
@@ -196,17 +206,17 @@
 		// The stop of a task that was never leased forbids it for good.
 		ta = &task{command: co}
 		pl.tasks.tasks[co.Task] = ta
-		ta.state = platform.TaskReportStateStopped
+		ta.state = platform.TaskStateStopped
 		return ""
 	}
-	if ta.state != platform.TaskReportStateLeased && ta.state != platform.TaskReportStateRunning {
+	if ta.state != platform.TaskStateLeased && ta.state != platform.TaskStateRunning {
 		return ""
 	}
-	if co.Action == platform.TaskCommandActionCheckpoint && ta.state == platform.TaskReportStateRunning {
+	if co.Action == platform.TaskCommandActionCheckpoint && ta.state == platform.TaskStateRunning {
 		ran := pl.clock.Now() - ta.started
 		pl.tasks.done[co.JobID] = max(pl.tasks.done[co.JobID], ran)
 	}
-	pl.move(ta, platform.TaskReportStateStopped, pl.clock.Now())
+	pl.move(ta, platform.TaskStateStopped, pl.clock.Now())
 	return ""
 }
 
@@ -215,12 +225,12 @@
 	now := pl.clock.Now()
 	for _, ta := range pl.tasks.due(now) {
 		switch {
-		case ta.state == platform.TaskReportStateLeased:
-			pl.move(ta, platform.TaskReportStateStopped, now)
+		case ta.state == platform.TaskStateLeased:
+			pl.move(ta, platform.TaskStateStopped, now)
 		case ta.fails:
-			pl.move(ta, platform.TaskReportStateFailed, ta.ends)
+			pl.move(ta, platform.TaskStateFailed, ta.ends)
 		default:
-			pl.move(ta, platform.TaskReportStateFinished, ta.ends)
+			pl.move(ta, platform.TaskStateFinished, ta.ends)
 		}
 	}
 }
@@ -229,10 +239,10 @@
 func (ts *taskSet) due(now clock.Millis) []*task {
 	var due []*task
 	for _, ta := range ts.live {
-		if ta.state == platform.TaskReportStateRunning && ta.ends <= now {
+		if ta.state == platform.TaskStateRunning && ta.ends <= now {
 			due = append(due, ta)
 		}
-		if ta.state == platform.TaskReportStateLeased && ts.heard[ta.zone]+HeldLease <= now {
+		if ta.state == platform.TaskStateLeased && ts.heard[ta.zone]+HeldLease <= now {
 			due = append(due, ta)
 		}
 	}
@@ -249,14 +259,14 @@
 }
 
 // move changes the state of a task, frees its accelerators at the end and records it.
-func (pl *Platform) move(ta *task, state platform.TaskReportState, at clock.Millis) {
+func (pl *Platform) move(ta *task, state platform.TaskState, at clock.Millis) {
 	ta.state = state
 	report := platform.TaskReport{Task: ta.command.Task, JobID: ta.command.JobID, Worker: ta.command.Worker, State: state}
-	if state != platform.TaskReportStateLeased && state != platform.TaskReportStateRunning {
+	if state != platform.TaskStateLeased && state != platform.TaskStateRunning {
 		pl.tasks.free[ta.command.Worker] += ta.command.Accelerators
 		delete(pl.tasks.live, ta.command.Task)
 	}
-	if state == platform.TaskReportStateFinished {
+	if state == platform.TaskStateFinished {
 		report.Output = fmt.Sprintf("output of %s on %s", ta.command.Task, ta.command.Worker)
 	}
 	pl.tasks.events = append(pl.tasks.events, event{at: at, zone: ta.zone, report: report})
--- /dev/null
+++ b/wagtailcroftd/callerserver/callerserver.go
@@ -0,0 +1,206 @@
+// Package callerserver serves the caller API over HTTP. It turns messages into calls of
+// the dispatcher and the registrar and decides nothing itself.
+package callerserver
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/admitter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dispatcher"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/registrar"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/replier"
+)
+
+const longestWait = 60 * clock.Second
+
+type (
+	// Options are what a server is made from.
+	Options struct {
+		Clock    clock.Clock
+		Tracer   *tracer.Tracer
+		Replier  *replier.Replier
+		Table    Table
+		Requests Requests
+		Jobs     Jobs
+		// MostBytes bounds the body of a request.
+		MostBytes meter.Bytes
+	}
+
+	// Table is the shared table as it is in force here.
+	Table interface {
+		Bearer(token string) (identifier.Workspace, bool)
+		Row(ws identifier.Workspace) (configurer.Row, bool)
+		Confirmed() bool
+	}
+
+	// Requests serves requests for runners.
+	Requests interface {
+		Send(ctx context.Context, re dispatcher.Request, li admitter.Limits) (dispatcher.Answer, error)
+	}
+
+	// Jobs serves gang jobs.
+	Jobs interface {
+		Submit(ctx context.Context, ws identifier.Workspace, body caller.JobBody) (rows.JobRow, error)
+		Wait(ctx context.Context, ws identifier.Workspace, id identifier.Job, most clock.Millis) (rows.JobRow, error)
+		Cancel(ctx context.Context, ws identifier.Workspace, id identifier.Job) (rows.JobRow, error)
+		Result(ctx context.Context, ws identifier.Workspace, id identifier.Job) (caller.JobResult, error)
+	}
+
+	// Server answers callers.
+	Server struct{ Options }
+
+	workspaceKey struct{}
+)
+
+var checker = validator.New(validator.WithRequiredStructEnabled())
+
+// New returns the handler of the caller API.
+func New(op Options) http.Handler {
+	se := &Server{Options: op}
+	strict := caller.NewStrictHandlerWithOptions(se, nil, caller.StrictHTTPServerOptions{
+		RequestErrorHandlerFunc:  op.Replier.BadRequest,
+		ResponseErrorHandlerFunc: op.Replier.Problem,
+	})
+	handler := caller.HandlerWithOptions(strict, caller.GorillaServerOptions{
+		BaseRouter:       mux.NewRouter(),
+		ErrorHandlerFunc: op.Replier.BadRequest,
+	})
+	return op.Tracer.Handler("entry.caller", se.authenticate(replier.Limit(op.MostBytes, handler)))
+}
+
+// authenticate binds the request to the workspace of its token. Nothing else that the
+// caller sends has a say in whose work it is or where it goes.
+func (se *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, known := se.Table.Bearer(replier.Token(r))
+		if !known {
+			se.Replier.Problem(w, r, problem.New(problem.BadToken, "no workspace has this token"))
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, ws)))
+	})
+}
+
+func workspaceOf(ctx context.Context) identifier.Workspace {
+	ws, _ := ctx.Value(workspaceKey{}).(identifier.Workspace)
+	return ws
+}
+
+func check(body any) error {
+	err := checker.Struct(body)
+	var fields validator.ValidationErrors
+	if eris.As(err, &fields) {
+		fd := fields[0]
+		return problem.New(problem.BadBody, "%s must satisfy %s=%s", fd.Namespace(), fd.Tag(), fd.Param())
+	}
+	return err
+}
+
+// SendRequest serves a request for a runner.
+func (se *Server) SendRequest(ctx context.Context, req caller.SendRequestRequestObject) (caller.SendRequestResponseObject, error) {
+	if err := check(req.Body); err != nil {
+		return nil, err
+	}
+	re := se.request(workspaceOf(ctx), *req.Body)
+	answer, err := se.Requests.Send(ctx, re, se.limits(re.Workspace))
+	if err != nil {
+		return nil, err
+	}
+	return caller.SendRequest200JSONResponse{
+		RequestID: re.ID,
+		Key:       re.Key,
+		Outcome:   types.OutcomeDone,
+		Payload:   answer.Payload,
+		Replayed:  answer.Replayed,
+	}, nil
+}
+
+func (se *Server) request(ws identifier.Workspace, body caller.RequestBody) dispatcher.Request {
+	return dispatcher.Request{
+		ID:           identifier.NewRequest(),
+		Workspace:    ws,
+		Key:          body.Key,
+		Kind:         string(body.Kind),
+		Urgent:       body.Class == types.ClassUrgent,
+		Idempotent:   body.Idempotent,
+		FirstAttempt: body.FirstAttempt,
+		Deadline:     se.Clock.Now() + body.TimeoutMillis,
+		Payload:      body.Payload,
+	}
+}
+
+func (se *Server) limits(ws identifier.Workspace) admitter.Limits {
+	row, _ := se.Table.Row(ws)
+	return admitter.Limits{
+		Requests:      row.Cells.Limits.Requests,
+		Unconfirmed:   row.Cells.Limits.UnconfirmedRequests,
+		UrgentAllowed: row.Cells.UrgentAllowed,
+		Confirmed:     se.Table.Confirmed(),
+	}
+}
+
+// SubmitJob stores a gang job.
+func (se *Server) SubmitJob(ctx context.Context, req caller.SubmitJobRequestObject) (caller.SubmitJobResponseObject, error) {
+	if err := check(req.Body); err != nil {
+		return nil, err
+	}
+	row, err := se.Jobs.Submit(ctx, workspaceOf(ctx), *req.Body)
+	if err != nil {
+		return nil, err
+	}
+	return caller.SubmitJob202JSONResponse(jobOf(row)), nil
+}
+
+// GetJob tells the state of a job, at its end or after waitMillis.
+func (se *Server) GetJob(ctx context.Context, req caller.GetJobRequestObject) (caller.GetJobResponseObject, error) {
+	wait := min(max(req.Params.WaitMillis, 0), longestWait)
+	row, err := se.Jobs.Wait(ctx, workspaceOf(ctx), req.JobID, wait)
+	if err != nil {
+		return nil, err
+	}
+	return caller.GetJob200JSONResponse(jobOf(row)), nil
+}
+
+// CancelJob asks for a job to be cancelled.
+func (se *Server) CancelJob(ctx context.Context, req caller.CancelJobRequestObject) (caller.CancelJobResponseObject, error) {
+	row, err := se.Jobs.Cancel(ctx, workspaceOf(ctx), req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	return caller.CancelJob200JSONResponse(jobOf(row)), nil
+}
+
+// GetJobResult returns the whole result of a job that is done.
+func (se *Server) GetJobResult(ctx context.Context, req caller.GetJobResultRequestObject) (caller.GetJobResultResponseObject, error) {
+	result, err := se.Jobs.Result(ctx, workspaceOf(ctx), req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	return caller.GetJobResult200JSONResponse(result), nil
+}
+
+func jobOf(row rows.JobRow) caller.Job {
+	return caller.Job{
+		JobID:   row.JobID,
+		Key:     row.Key,
+		Zone:    row.Zone,
+		State:   caller.JobState(row.State),
+		Outcome: row.Outcome,
+		Reason:  registrar.Describe(row),
+		Workers: row.Workers,
+	}
+}
--- /dev/null
+++ b/wagtailcroftd/daemon/run.go
@@ -0,0 +1,204 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/callerserver"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/operatorserver"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/replier"
+)
+
+const (
+	headerTimeout = 5 * clock.Second
+	callerIdle    = 2 * clock.Minute
+)
+
+// Start opens the listeners and begins to work. On an error nothing is left open.
+func (da *Daemon) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	da.cancel = cancel
+	if err := da.listen(); err != nil {
+		cancel()
+		da.closeAll()
+		return err
+	}
+	da.loop(ctx, da.Settings.Timing.ConfigPollMillis, da.Peers.Behind(), da.stepTable)
+	da.loop(ctx, da.Settings.Timing.RenewMillis, nil, da.stepLeases)
+	da.loop(ctx, peerPeriod, nil, da.stepPeers)
+	da.loop(ctx, watchPeriod, nil, da.Targets.Step)
+	da.loop(ctx, da.Settings.Timing.ScheduleMillis, nil, da.Gangs.Step)
+	da.loop(ctx, flushPeriod, nil, da.Claims.Step)
+	da.log.Info().Str("zone", string(da.Settings.Zone)).Str("callers", da.Settings.CallerAddress).Str("operators", da.Settings.OperatorAddress).Msg("started")
+	return nil
+}
+
+func (da *Daemon) listen() error {
+	peerLn, err := net.Listen("tcp", da.Settings.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	da.peerLn = peerLn
+	da.loops.Go(func() { _ = da.Peers.Serve(peerLn) })
+	if err := da.serve(da.Settings.CallerAddress, da.CallerHandler()); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	return eris.Wrap(da.serve(da.Settings.OperatorAddress, da.OperatorHandler()), "listen for operators")
+}
+
+func (da *Daemon) serve(address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: callerIdle.Duration()}
+	da.servers = append(da.servers, server)
+	da.loops.Go(func() { _ = server.Serve(ln) })
+	return nil
+}
+
+// CallerHandler serves the caller API.
+func (da *Daemon) CallerHandler() http.Handler {
+	return callerserver.New(callerserver.Options{
+		Clock:     da.outside.Clock,
+		Tracer:    da.tracer,
+		Replier:   replier.New(da.log),
+		Table:     da.Table,
+		Requests:  da.Requests,
+		Jobs:      da.Jobs,
+		MostBytes: da.Settings.Runners.BodyBytes,
+	})
+}
+
+// OperatorHandler serves the operator API.
+func (da *Daemon) OperatorHandler() http.Handler {
+	return operatorserver.New(operatorserver.Options{
+		Zone:         da.Settings.Zone,
+		Tracer:       da.tracer,
+		Replier:      replier.New(da.log),
+		TokenDigests: da.Settings.OperatorTokenDigests,
+		MostBytes:    da.Settings.Runners.BodyBytes,
+		Table:        da.Table,
+		Jobs:         da.Jobs,
+		Peers:        da.Peers,
+		Targets:      da.Targets,
+		Zones:        da.Leases,
+		Gangs:        da.Gangs,
+		Ready:        func() bool { return !da.stopping.Load() },
+		Metrics:      da.metrics(),
+	})
+}
+
+// loop calls step now and then again after each period, or earlier when woken.
+func (da *Daemon) loop(ctx context.Context, period clock.Millis, wake <-chan struct{}, step func(context.Context) error) {
+	da.loops.Go(func() {
+		for {
+			if err := step(ctx); err != nil && ctx.Err() == nil {
+				da.log.Warn().Err(err).Msg("stepFailed")
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-wake:
+			case <-da.outside.Clock.After(period):
+			}
+		}
+	})
+}
+
+func (da *Daemon) stepTable(ctx context.Context) error {
+	err := da.Table.Step(ctx)
+	da.Targets.Apply()
+	return err
+}
+
+func (da *Daemon) stepLeases(ctx context.Context) error {
+	if err := da.Peers.Look(ctx); err != nil {
+		// A seat that cannot be renewed may have to go out of use.
+		shares{routes: da.Routes, of: da.Settings.Runners.Seats}.Use(da.Leases.Seats())
+		return err
+	}
+	return da.Leases.Step(ctx)
+}
+
+func (da *Daemon) stepPeers(ctx context.Context) error {
+	da.Peers.Beat(ctx)
+	return nil
+}
+
+// Step does once what the loops do, in a fixed order, for tests that move the clock.
+func (da *Daemon) Step(ctx context.Context) {
+	steps := []func(context.Context) error{da.stepTable, da.stepLeases, da.stepPeers, da.Targets.Step, da.Gangs.Step, da.Claims.Step}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			da.log.Debug().Err(err).Msg("stepFailed")
+		}
+	}
+}
+
+// Stop leaves the balancer, finishes what is in flight, hands over the leases and ends.
+// It returns an error if ctx ends first; what was in flight then is cut off.
+func (da *Daemon) Stop(ctx context.Context) error {
+	da.stopping.Store(true)
+	da.Table.Leave()
+	_ = da.Table.Step(ctx) // tells the others; they notice the silence all the same
+	da.log.Info().Int32("inFlight", da.admit.InFlight()).Msg("stopping")
+	err := da.finish(ctx)
+	if leaveErr := da.Leases.Leave(ctx); leaveErr != nil {
+		da.log.Warn().Err(leaveErr).Msg("leasesLeft")
+	}
+	_ = da.Claims.Step(ctx)
+	da.closeAll()
+	da.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// finish waits for the requests in flight.
+func (da *Daemon) finish(ctx context.Context) error {
+	for _, server := range da.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			return eris.Wrap(err, "requests were cut off")
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		da.pool.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "requests were cut off")
+	}
+}
+
+// Kill ends the daemon at once, as its death would.
+func (da *Daemon) Kill() {
+	da.stopping.Store(true)
+	da.closeAll()
+}
+
+// InFlight is the number of requests that a second signal would cut off.
+func (da *Daemon) InFlight() int32 { return da.admit.InFlight() }
+
+func (da *Daemon) closeAll() {
+	if da.cancel != nil {
+		da.cancel()
+	}
+	for _, server := range da.servers {
+		_ = server.Close()
+	}
+	if da.peerLn != nil {
+		_ = da.peerLn.Close()
+	}
+	for _, closeOne := range da.closer {
+		closeOne()
+	}
+	da.loops.Wait()
+	_ = da.tracer.Close(context.Background())
+}
--- /dev/null
+++ b/wagtailcroftd/executor/observe.go
@@ -0,0 +1,207 @@
+package executor
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/converter"
+	"github.com/wagtailcroft/wagtailcroft/shared/estimator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/placer"
+	"github.com/wagtailcroft/wagtailcroft/shared/scheduler"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/storer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/surveyor"
+)
+
+// observe takes in what has changed: rows, reports, the table and the workers.
+func (ex *Executor) observe(ctx context.Context) error {
+	list, upTo, err := storer.Scan[rows.JobRow](ctx, ex.Store, storer.TableJobs, storer.JobPrefix(ex.Zone), ex.scanned)
+	if err != nil {
+		return err
+	}
+	vi := ex.look()
+	ex.mu.Lock()
+	if upTo >= ex.scanned {
+		ex.scanned = upTo
+		for _, row := range list {
+			ex.takeRow(row)
+		}
+	}
+	ex.setWorkers(vi.workers)
+	ex.setTable(vi.table)
+	busy := ex.busy()
+	ex.mu.Unlock()
+	if !busy {
+		return nil
+	}
+	return ex.readReports(ctx)
+}
+
+// busy reports whether any gang occupies workers.
+func (ex *Executor) busy() bool {
+	for _, jo := range ex.jobs {
+		if converter.Active(jo.row) {
+			return true
+		}
+	}
+	return false
+}
+
+func (ex *Executor) readReports(ctx context.Context) error {
+	reports, err := ex.Store.Reports(ctx, ex.Zone, ex.reported)
+	if err != nil {
+		return err
+	}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.reported = max(ex.reported, reports.Revision)
+	for _, re := range reports.Reports {
+		ex.takeReport(re)
+	}
+	return nil
+}
+
+// takeReport records the state of a task; tasks of earlier attempts are ignored.
+func (ex *Executor) takeReport(re platform.TaskReport) {
+	jo, known := ex.jobs[re.JobID]
+	if !known {
+		return
+	}
+	member, current := jo.member(re.Task)
+	if !current {
+		return
+	}
+	jo.states[re.Task] = re.State
+	if re.State == platform.TaskStateFinished {
+		jo.outputs[member] = re.Output
+	}
+}
+
+// member returns the member number of a task of the current attempt.
+func (jo *job) member(ta identifier.Task) (int, bool) {
+	prefix := string(identifier.TaskFor(jo.row.JobID, jo.row.Attempt, 0))
+	prefix = strings.TrimSuffix(prefix, "0")
+	number, found := strings.CutPrefix(string(ta), prefix)
+	if !found {
+		return 0, false
+	}
+	member, err := strconv.Atoi(number)
+	return member, err == nil
+}
+
+// restore brings back the reservations first, then the gangs that use them, then the
+// rest.
+func (ex *Executor) restore(ledger rows.LedgerRow, list []storer.Row[rows.JobRow], table configurer.Snapshot) {
+	used := converter.Restore(ex.zone, ledger.Reservations)
+	for _, row := range list {
+		if !row.Removed && converter.Active(row.Value) {
+			ex.resume(row, used[row.Value.JobID])
+		}
+	}
+	ex.setTable(table)
+	for _, row := range list {
+		if !row.Removed && !converter.Active(row.Value) {
+			ex.takeRow(row)
+		}
+	}
+}
+
+// resume takes over a gang that was placed before.
+func (ex *Executor) resume(row storer.Row[rows.JobRow], re *placer.Reservation) {
+	value := row.Value
+	ex.jobs[value.JobID] = newJob(row)
+	bl, _ := ex.zone.BlockOf(converter.Shape(value.Shape), value.Workers)
+	pl := placer.Placement{Job: value.JobID, Workspace: value.Workspace, Block: bl, Fixed: value.Fixed}
+	if re != nil {
+		pl.Reservation, pl.Reserved = re, re.Block
+	}
+	ex.line.Resume(scheduler.Run{Job: ex.lineJob(value), Started: value.StartedAt}, pl)
+}
+
+func newJob(row storer.Row[rows.JobRow]) *job {
+	return &job{
+		row:     row.Value,
+		version: row.Version,
+		states:  map[identifier.Task]platform.TaskState{},
+		outputs: map[int]string{},
+	}
+}
+
+// takeRow takes over a row that somebody else has written: a new job or a cancel, or this
+// executor's own write whose answer was lost.
+func (ex *Executor) takeRow(row storer.Row[rows.JobRow]) {
+	id := identifier.Job(strings.TrimPrefix(row.Name, storer.JobPrefix(ex.Zone)))
+	jo, known := ex.jobs[id]
+	switch {
+	case known && row.Version <= jo.version:
+	case row.Removed:
+		ex.forget(id)
+	case !known && converter.Active(row.Value):
+		ex.resume(row, nil)
+	case !known:
+		ex.jobs[id] = newJob(row)
+		ex.line.Wait(ex.lineJob(row.Value))
+	case jo.row.State == row.Value.State && jo.row.Attempt == row.Value.Attempt:
+		jo.row, jo.version = row.Value, row.Version
+	default:
+		// A write of this executor took effect though its answer said otherwise.
+		ex.active = false
+	}
+}
+
+func (ex *Executor) forget(id identifier.Job) {
+	ex.line.Remove(id)
+	ex.quarantine.Ended(id)
+	delete(ex.jobs, id)
+}
+
+// lineJob describes a job to the scheduler.
+func (ex *Executor) lineJob(row rows.JobRow) scheduler.Job {
+	return scheduler.Job{
+		ID:          row.JobID,
+		Workspace:   row.Workspace,
+		Shape:       converter.Shape(row.Shape),
+		Urgent:      row.Class == types.ClassUrgent,
+		Submitted:   row.SubmittedAt,
+		Expected:    ex.estimates.Expect(kindOf(row), row.ExpectedMillis),
+		Preemptions: row.Preemptions,
+	}
+}
+
+func kindOf(row rows.JobRow) estimator.Kind {
+	return estimator.Kind{Workspace: row.Workspace, Name: row.Kind}
+}
+
+// setWorkers takes over the list of workers, what leaves and what is quarantined.
+func (ex *Executor) setWorkers(workers []platform.InventoryWorker) {
+	now := ex.Clock.Now()
+	for _, wo := range ex.quarantine.Returning(now) {
+		ex.Log.Info().Str("worker", string(wo)).Msg("workerOnProbation")
+	}
+	for _, wo := range workers {
+		ex.zone.Add(converter.Worker(wo))
+		usable := !wo.Leaving && !wo.Gone && !ex.quarantine.Quarantined(wo.Worker, now)
+		for _, re := range ex.zone.SetUsable(wo.Worker, usable) {
+			ex.Log.Warn().Str("workspace", string(re.Workspace)).Str("shape", re.Shape.String()).Msg("guaranteeShort")
+		}
+	}
+}
+
+// setTable takes over the rows of the workspaces if the table has changed.
+func (ex *Executor) setTable(sn configurer.Snapshot) {
+	if sn.Version == ex.table {
+		return
+	}
+	for _, row := range sn.Rows {
+		ex.line.SetWorkspace(scheduler.Workspace{ID: row.Workspace, Weight: row.Cells.Weight, Limit: row.Cells.Limits.Accelerators})
+	}
+	for _, re := range ex.zone.SetGuarantees(surveyor.Guarantees(sn, ex.Zone)) {
+		ex.Log.Warn().Str("workspace", string(re.Workspace)).Str("shape", re.Shape.String()).Msg("guaranteeShort")
+	}
+	ex.table, ex.head = sn.Version, sn.Head
+}
--- /dev/null
+++ b/wagtailcroftd/operatorserver/operatorserver.go
@@ -0,0 +1,130 @@
+// Package operatorserver serves the operator API over HTTP, with readiness for the
+// balancer and metrics. It turns messages into calls and decides nothing itself.
+package operatorserver
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"slices"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/heartbeater"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/replier"
+)
+
+type (
+	// Options are what a server is made from.
+	Options struct {
+		Zone    identifier.Zone
+		Tracer  *tracer.Tracer
+		Replier *replier.Replier
+		// TokenDigests are those of the operators' bearer tokens.
+		TokenDigests []string
+		MostBytes    meter.Bytes
+		Table        Table
+		Jobs         Jobs
+		Peers        Peers
+		Targets      Targets
+		Zones        Zones
+		Gangs        Gangs
+		// Ready reports whether the balancer should send callers here.
+		Ready func() bool
+		// Metrics is what /debug/vars shows beside the process's own.
+		Metrics *expvar.Map
+	}
+
+	// Table is the shared table.
+	Table interface {
+		Refresh(ctx context.Context) error
+		Snapshot() configurer.Snapshot
+		Plan(ctx context.Context, ed configurer.Edit) (configurer.Plan, error)
+		Apply(ctx context.Context, ed configurer.Edit) (configurer.Plan, error)
+		Drain(ctx context.Context, target identifier.Target, undo bool) error
+		History(ctx context.Context, ws identifier.Workspace) ([]rows.HistoryRow, error)
+	}
+
+	// Jobs knows the gang jobs.
+	Jobs interface {
+		Get(ctx context.Context, ws identifier.Workspace, id identifier.Job) (rows.JobRow, error)
+		List(ctx context.Context) ([]rows.JobRow, error)
+		Cancel(ctx context.Context, ws identifier.Workspace, id identifier.Job) (rows.JobRow, error)
+	}
+
+	// Peers knows the other entry instances.
+	Peers interface {
+		Look(ctx context.Context) error
+		Members() []heartbeater.Member
+		Ask(ctx context.Context, in identifier.Instance, job identifier.Job) ([]string, bool, error)
+	}
+
+	// Targets knows the targets of this zone.
+	Targets interface {
+		Workers() []platform.InventoryWorker
+		Runners() []platform.InventoryRunner
+	}
+
+	// Zones knows who schedules each zone.
+	Zones interface {
+		Holder(ctx context.Context, zone identifier.Zone) (identifier.Instance, error)
+	}
+
+	// Gangs knows which workers are quarantined.
+	Gangs interface {
+		Quarantined() []identifier.Worker
+	}
+
+	// Server answers operators.
+	Server struct{ Options }
+)
+
+// New returns the handler of the operator API.
+func New(op Options) http.Handler {
+	se := &Server{Options: op}
+	strict := operator.NewStrictHandlerWithOptions(se, nil, operator.StrictHTTPServerOptions{
+		RequestErrorHandlerFunc:  op.Replier.BadRequest,
+		ResponseErrorHandlerFunc: op.Replier.Problem,
+	})
+	api := operator.HandlerWithOptions(strict, operator.GorillaServerOptions{
+		BaseRouter:       mux.NewRouter(),
+		ErrorHandlerFunc: op.Replier.BadRequest,
+	})
+	router := mux.NewRouter()
+	router.HandleFunc("/ready", se.ready)
+	router.HandleFunc("/debug/vars", se.vars)
+	router.PathPrefix("/v1/").Handler(op.Tracer.Handler("entry.operator", se.authenticate(replier.Limit(op.MostBytes, api))))
+	return router
+}
+
+func (se *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !se.Ready() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// vars shows this instance's metrics; several instances may share a process in tests.
+func (se *Server) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte(se.Metrics.String()))
+}
+
+func (se *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !slices.Contains(se.TokenDigests, identifier.Digest(replier.Token(r))) {
+			se.Replier.Problem(w, r, problem.New(problem.BadToken, "no operator has this token"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/wagtailcroftd/operatorserver/work.go
@@ -0,0 +1,137 @@
+package operatorserver
+
+import (
+	"context"
+	"slices"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/registrar"
+)
+
+// ListJobs returns the jobs that have not ended.
+func (se *Server) ListJobs(ctx context.Context, _ operator.ListJobsRequestObject) (operator.ListJobsResponseObject, error) {
+	list, err := se.Jobs.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	jobs := operator.JobList{Jobs: []operator.JobView{}}
+	for _, row := range list {
+		jobs.Jobs = append(jobs.Jobs, viewOf(row))
+	}
+	return operator.ListJobs200JSONResponse(jobs), nil
+}
+
+// ShowJob returns one job.
+func (se *Server) ShowJob(ctx context.Context, req operator.ShowJobRequestObject) (operator.ShowJobResponseObject, error) {
+	row, err := se.Jobs.Get(ctx, "", req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ShowJob200JSONResponse(viewOf(row)), nil
+}
+
+// CancelAnyJob asks for a job of any workspace to be cancelled.
+func (se *Server) CancelAnyJob(ctx context.Context, req operator.CancelAnyJobRequestObject) (operator.CancelAnyJobResponseObject, error) {
+	row, err := se.Jobs.Cancel(ctx, "", req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	return operator.CancelAnyJob200JSONResponse(viewOf(row)), nil
+}
+
+// WhyJob has the instance that schedules the job's zone explain it.
+func (se *Server) WhyJob(ctx context.Context, req operator.WhyJobRequestObject) (operator.WhyJobResponseObject, error) {
+	row, err := se.Jobs.Get(ctx, "", req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	why := operator.Why{JobID: row.JobID, State: string(row.State), Lines: []string{}}
+	if row.Reason != "" {
+		why.Lines = append(why.Lines, "last change: "+row.Reason)
+	}
+	if registrar.Ended(row) {
+		return operator.WhyJob200JSONResponse(why), nil
+	}
+	holder, err := se.Zones.Holder(ctx, row.Zone)
+	if err != nil {
+		return nil, err
+	}
+	lines, known, err := se.Peers.Ask(ctx, holder, row.JobID)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		return nil, problem.New(problem.PeerUnavailable, "instance %s has only just taken over zone %s", holder, row.Zone)
+	}
+	why.Lines = append(why.Lines, lines...)
+	return operator.WhyJob200JSONResponse(why), nil
+}
+
+func viewOf(row rows.JobRow) operator.JobView {
+	return operator.JobView{
+		JobID:     row.JobID,
+		Workspace: row.Workspace,
+		Zone:      row.Zone,
+		Kind:      row.Kind,
+		Class:     row.Class,
+		State:     string(row.State),
+		Outcome:   row.Outcome,
+		Shape:     row.Shape,
+		Attempt:   int(row.Attempt),
+		Reason:    registrar.Describe(row),
+		Workers:   append([]identifier.Worker{}, row.Workers...),
+	}
+}
+
+// ListTargets returns the runners and workers of this zone.
+func (se *Server) ListTargets(context.Context, operator.ListTargetsRequestObject) (operator.ListTargetsResponseObject, error) {
+	return operator.ListTargets200JSONResponse{Targets: se.targets()}, nil
+}
+
+func (se *Server) targets() []operator.TargetView {
+	draining := se.Table.Snapshot().Draining
+	quarantined := se.Gangs.Quarantined()
+	runners, workers := se.Targets.Runners(), se.Targets.Workers()
+	list := make([]operator.TargetView, 0, len(runners)+len(workers))
+	for _, ru := range runners {
+		view := operator.TargetView{TargetID: ru.Runner, Kind: operator.TargetViewKindRunner, Zone: se.Zone}
+		view.State = stateOf(ru.Leaving, slices.Contains(draining, ru.Runner), false)
+		list = append(list, view)
+	}
+	for _, wo := range workers {
+		id := identifier.Target(wo.Worker)
+		view := operator.TargetView{TargetID: id, Kind: operator.TargetViewKindWorker, Zone: se.Zone, Rack: wo.Rack, Accelerators: wo.Accelerators}
+		view.State = stateOf(wo.Leaving, slices.Contains(draining, id), slices.Contains(quarantined, wo.Worker))
+		list = append(list, view)
+	}
+	return list
+}
+
+func stateOf(leaving, draining, quarantined bool) operator.TargetViewState {
+	switch {
+	case draining:
+		return operator.TargetViewStateDraining
+	case leaving:
+		return operator.TargetViewStateLeaving
+	case quarantined:
+		return operator.TargetViewStateQuarantined
+	default:
+		return operator.TargetViewStateLive
+	}
+}
+
+// DrainTarget empties a target, or with undo lets it take work again.
+func (se *Server) DrainTarget(ctx context.Context, req operator.DrainTargetRequestObject) (operator.DrainTargetResponseObject, error) {
+	known := func(ta operator.TargetView) bool { return ta.TargetID == req.TargetID }
+	if !slices.ContainsFunc(se.targets(), known) {
+		return nil, problem.New(problem.NotFound, "zone %s has no target %s", se.Zone, req.TargetID)
+	}
+	if err := se.Table.Drain(ctx, req.TargetID, req.Params.Undo); err != nil {
+		return nil, err
+	}
+	list := se.targets()
+	return operator.DrainTarget200JSONResponse(list[slices.IndexFunc(list, known)]), nil
+}
--- /dev/null
+++ b/wagtailcroftd/surveyor/surveyor.go
@@ -0,0 +1,129 @@
+// Package surveyor rebuilds what runs in an availability zone from the store, to find out
+// whether changed guarantees can be honoured there.
+package surveyor
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/converter"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/placer"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/storer"
+)
+
+// Surveyor reads the zones of the platform.
+type Surveyor struct {
+	store *storer.Store
+}
+
+// New returns a surveyor that reads from the store.
+func New(st *storer.Store) *Surveyor { return &Surveyor{store: st} }
+
+// Survey packs the guarantees of the table beside the work that may not be preempted.
+func (su *Surveyor) Survey(ctx context.Context, zone identifier.Zone, sn configurer.Snapshot) ([]string, meter.RowVersion, error) {
+	ledger, err := storer.Read[rows.LedgerRow](ctx, su.store, storer.LedgerKey(zone))
+	if err != nil {
+		return nil, 0, err
+	}
+	zo, err := su.zone(ctx, zone, ledger.Value, sn)
+	if err != nil {
+		return nil, 0, err
+	}
+	guarantees := Guarantees(sn, zone)
+	if short := zo.SetGuarantees(guarantees); len(short) > 0 {
+		return nil, 0, tooLarge(zone, short)
+	}
+	return effects(zone, zo), ledger.Version, nil
+}
+
+// Guarantees lists the guarantees of all workspaces in a zone.
+func Guarantees(sn configurer.Snapshot, zone identifier.Zone) []placer.Guarantee {
+	list := make([]placer.Guarantee, 0, len(sn.Rows))
+	for _, row := range sn.Rows {
+		list = append(list, converter.Guarantees(row.Workspace, row.Cells, zone)...)
+	}
+	return list
+}
+
+func (su *Surveyor) zone(ctx context.Context, zone identifier.Zone, ledger rows.LedgerRow, sn configurer.Snapshot) (*placer.Zone, error) {
+	inventory, err := su.store.Inventory(ctx, zone, 0)
+	if err != nil {
+		return nil, err
+	}
+	jobs, _, err := storer.Scan[rows.JobRow](ctx, su.store, storer.TableJobs, storer.JobPrefix(zone), 0)
+	if err != nil {
+		return nil, err
+	}
+	zo := placer.New(nil)
+	for _, wo := range inventory.Workers {
+		zo.Add(converter.Worker(wo))
+		if wo.Leaving || wo.Gone {
+			zo.SetUsable(wo.Worker, false)
+		}
+	}
+	for _, target := range sn.Draining {
+		zo.SetUsable(identifier.Worker(target), false)
+	}
+	used := converter.Restore(zo, ledger.Reservations)
+	for _, job := range jobs {
+		place(zo, job.Value, used)
+	}
+	return zo, nil
+}
+
+// place puts a gang that may not be preempted where its row says it is.
+func place(zo *placer.Zone, job rows.JobRow, used map[identifier.Job]*placer.Reservation) {
+	if !job.Fixed || !converter.Active(job) {
+		return
+	}
+	bl, known := zo.BlockOf(converter.Shape(job.Shape), job.Workers)
+	if !known {
+		return
+	}
+	pl := placer.Placement{Job: job.JobID, Workspace: job.Workspace, Block: bl, Fixed: true}
+	if re := used[job.JobID]; re != nil {
+		pl.Reservation, pl.Reserved = re, re.Block
+	}
+	zo.Commit(pl)
+}
+
+func tooLarge(zone identifier.Zone, short []*placer.Reservation) error {
+	first := short[0]
+	return problem.New(problem.GuaranteeTooLarge,
+		"in zone %s %d guaranteed gangs find no room beside the others and the work that may not be preempted, the first being %s of workspace %s",
+		zone, len(short), first.Shape, first.Workspace)
+}
+
+// effects says in words where each guarantee can be obtained.
+func effects(zone identifier.Zone, zo *placer.Zone) []string {
+	lines := make([]string, 0, len(zo.Reservations()))
+	for _, re := range zo.Reservations() {
+		state := "set aside"
+		if re.User != nil {
+			state = "in use by " + string(re.User.Job)
+		}
+		lines = append(lines, fmt.Sprintf("zone %s: %s for workspace %s is %s on %d workers", zone, re.Shape, re.Workspace, state, len(re.Block.Shares)))
+	}
+	return lines
+}
+
+// Possible reports whether a gang of the shape could ever run in a zone.
+func (su *Surveyor) Possible(ctx context.Context, zone identifier.Zone, sn configurer.Snapshot, ws identifier.Workspace, sh placer.Shape) (bool, error) {
+	inventory, err := su.store.Inventory(ctx, zone, 0)
+	if err != nil {
+		return false, err
+	}
+	zo := placer.New(nil)
+	for _, wo := range inventory.Workers {
+		if !wo.Gone {
+			zo.Add(converter.Worker(wo))
+		}
+	}
+	zo.SetGuarantees(Guarantees(sn, zone))
+	return zo.Possible(ws, sh), nil
+}
