--- /dev/null
+++ b/shared/admitter/admitter_test.go
@@ -0,0 +1,48 @@
+package admitter
+
+import (
+	"testing"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+)
+
+func TestEnter(t *testing.T) {
+	limits := Limits{Requests: 2, Unconfirmed: 1, Confirmed: true, UrgentAllowed: true}
+	call := Call{Workspace: "w", Deadline: 1000}
+	t.Run("within the limit of the workspace", func(t *testing.T) {
+		ad := New(8)
+		asserter.OK(t, ad.Enter(call, limits, 0))
+		asserter.OK(t, ad.Enter(call, limits, 0))
+		asserter.Kind(t, ad.Enter(call, limits, 0), problem.TooManyRequests)
+		asserter.OK(t, ad.Enter(Call{Workspace: "other", Deadline: 1000}, limits, 0))
+		ad.Leave("w", 0)
+		asserter.OK(t, ad.Enter(call, limits, 0))
+		asserter.Equal(t, ad.InFlight(), 3)
+	})
+	t.Run("a lower limit while the row is not confirmed", func(t *testing.T) {
+		ad := New(8)
+		unconfirmed := limits
+		unconfirmed.Confirmed = false
+		asserter.OK(t, ad.Enter(call, unconfirmed, 0))
+		asserter.Kind(t, ad.Enter(call, unconfirmed, 0), problem.TooManyRequests)
+	})
+	t.Run("urgent work only where allowed", func(t *testing.T) {
+		forbidden := limits
+		forbidden.UrgentAllowed = false
+		urgent := call
+		urgent.Urgent = true
+		asserter.Kind(t, New(8).Enter(urgent, forbidden, 0), problem.UrgentNotAllowed)
+	})
+	t.Run("not if the queue is longer than the deadline; urgent overtakes", func(t *testing.T) {
+		ad := New(1)
+		many := Limits{Requests: 1000, Confirmed: true, UrgentAllowed: true}
+		for range 10 {
+			asserter.OK(t, ad.Enter(Call{Workspace: "w", Deadline: 1000}, many, 0))
+		}
+		err := ad.Enter(Call{Workspace: "w", Deadline: 10}, many, 0)
+		asserter.Kind(t, err, problem.DeadlineTooShort)
+		asserter.Outcome(t, err, problem.NotRun)
+		asserter.OK(t, ad.Enter(Call{Workspace: "w", Deadline: 10, Urgent: true}, many, 0))
+	})
+}
--- /dev/null
+++ b/shared/placer/placer_test.go
@@ -0,0 +1,175 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+// newZone makes racks of workers with the same number of accelerators.
+func newZone(racks, perRack int, accelerators meter.Accelerators) *Zone {
+	var workers []Worker
+	for ra := range racks {
+		for wo := range perRack {
+			workers = append(workers, Worker{
+				ID:           identifier.Worker(fmt.Sprintf("r%d-w%d", ra, wo)),
+				Rack:         identifier.Rack(fmt.Sprintf("r%d", ra)),
+				Accelerators: accelerators,
+			})
+		}
+	}
+	return New(workers)
+}
+
+func noLoss(*Gang) int64 { return 1 }
+
+// mustBorrow places and commits a borrowed gang.
+func mustBorrow(t *testing.T, zo *Zone, job identifier.Job, sh Shape) *Gang {
+	t.Helper()
+	pl, found := zo.Borrow(job, "borrower", sh)
+	is.New(t).True(found)
+	return zo.Commit(pl)
+}
+
+// racksOf counts the racks that a block touches.
+func racksOf(zo *Zone, bl Block) int {
+	racks := map[int]bool{}
+	for _, sr := range bl.Shares {
+		racks[zo.workers[sr.Worker].rack] = true
+	}
+	return len(racks)
+}
+
+func TestShapeCovers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		outer, inner Shape
+		want         bool
+	}{
+		"same":             {Shape{4, 8, OneRack}, Shape{4, 8, OneRack}, true},
+		"looser adjacency": {Shape{4, 8, OneRack}, Shape{4, 8, OneZone}, true},
+		"tighter":          {Shape{4, 8, OneRack}, Shape{2, 8, OneWorker}, false},
+		"into one member":  {Shape{4, 8, OneZone}, Shape{4, 2, OneWorker}, true},
+		"smaller members":  {Shape{4, 8, OneRack}, Shape{8, 4, OneRack}, true},
+		"larger members":   {Shape{8, 4, OneRack}, Shape{4, 8, OneRack}, false},
+		"too many":         {Shape{4, 8, OneRack}, Shape{9, 4, OneRack}, false},
+		"uneven":           {Shape{2, 8, OneRack}, Shape{2, 5, OneRack}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(tc.outer.Covers(tc.inner), tc.want)
+		})
+	}
+}
+
+func TestAdjacency(t *testing.T) {
+	t.Run("one rack", func(t *testing.T) {
+		zo := newZone(3, 2, 8)
+		mustBorrow(t, zo, "small", Shape{1, 1, OneWorker})
+		ga := mustBorrow(t, zo, "gang", Shape{2, 8, OneRack})
+		is.New(t).Equal(racksOf(zo, ga.Block), 1)
+	})
+	t.Run("one worker", func(t *testing.T) {
+		zo := newZone(2, 2, 8)
+		ga := mustBorrow(t, zo, "gang", Shape{4, 2, OneWorker})
+		is.New(t).Equal(len(ga.Block.Shares), 1)
+	})
+	t.Run("no rack is large enough", func(t *testing.T) {
+		zo := newZone(3, 2, 8)
+		_, found := zo.Borrow("gang", "borrower", Shape{3, 8, OneRack})
+		is.New(t).True(!found)
+		is.New(t).True(!zo.Possible("borrower", Shape{3, 8, OneRack}))
+		is.New(t).True(zo.Possible("borrower", Shape{3, 8, OneZone}))
+	})
+	t.Run("across racks", func(t *testing.T) {
+		zo := newZone(3, 2, 8)
+		ga := mustBorrow(t, zo, "gang", Shape{6, 8, OneZone})
+		is.New(t).Equal(racksOf(zo, ga.Block), 3)
+	})
+}
+
+func TestSmallWorkFillsBrokenRacks(t *testing.T) {
+	zo := newZone(4, 2, 8)
+	for i := range 16 {
+		mustBorrow(t, zo, identifier.Job(fmt.Sprintf("small-%02d", i)), Shape{1, 1, OneWorker})
+	}
+	_, found := zo.Borrow("large", "borrower", Shape{2, 8, OneRack})
+	is.New(t).True(found)
+	ga := mustBorrow(t, zo, "across", Shape{6, 8, OneZone})
+	is.New(t).Equal(racksOf(zo, ga.Block), 3) // the small work filled one rack and no other
+}
+
+func TestReclaim(t *testing.T) {
+	guarantee := Guarantee{Workspace: "owner", Count: 1, Shape: Shape{2, 8, OneRack}}
+	t.Run("borrowed work goes, with the least loss", func(t *testing.T) {
+		zo := newZone(2, 2, 8)
+		is.New(t).Equal(len(zo.SetGuarantees([]Guarantee{guarantee})), 0)
+		for i := range 4 {
+			mustBorrow(t, zo, identifier.Job(fmt.Sprintf("b%d", i)), Shape{1, 8, OneWorker})
+		}
+		costly := zo.Gang("b0").Block.Shares[0].Worker
+		lost := func(ga *Gang) int64 {
+			if zo.workers[ga.Block.Shares[0].Worker].rack == zo.workers[costly].rack {
+				return 100
+			}
+			return 1
+		}
+		pl := zo.Guaranteed("own", zo.Unused("owner", guarantee.Shape), guarantee.Shape, lost)
+		is.New(t).Equal(len(pl.Victims), 2)
+		is.New(t).True(zo.workers[pl.Block.Shares[0].Worker].rack != zo.workers[costly].rack)
+	})
+	t.Run("a free block is taken before any preemption", func(t *testing.T) {
+		zo := newZone(2, 2, 8)
+		zo.SetGuarantees([]Guarantee{guarantee})
+		zo.Commit(Placement{Job: "b", Workspace: "borrower", Block: zo.Reservations()[0].Block})
+		pl := zo.Guaranteed("own", zo.Unused("owner", guarantee.Shape), guarantee.Shape, noLoss)
+		is.New(t).Equal(len(pl.Victims), 0)
+	})
+	t.Run("work that is not preempted stays off reservations", func(t *testing.T) {
+		zo := newZone(1, 2, 8)
+		zo.SetGuarantees([]Guarantee{guarantee})
+		_, found := zo.Fix("fixed", "other", Shape{1, 1, OneWorker})
+		is.New(t).True(!found)
+	})
+	t.Run("a small gang in a reservation leaves the rest to borrowers", func(t *testing.T) {
+		zo := newZone(1, 2, 8)
+		zo.SetGuarantees([]Guarantee{guarantee})
+		pl := zo.Guaranteed("own", zo.Unused("owner", Shape{1, 4, OneWorker}), Shape{1, 4, OneWorker}, noLoss)
+		zo.Commit(pl)
+		mustBorrow(t, zo, "b", Shape{1, 8, OneWorker})
+		zo.Release("own")
+		is.New(t).True(zo.Unused("owner", guarantee.Shape) != nil)
+	})
+}
+
+func TestHold(t *testing.T) {
+	zo := newZone(1, 2, 8)
+	zo.Hold("head", Block{Shape: Shape{2, 8, OneRack}, Shares: []Share{{0, 1}, {1, 1}}})
+	_, found := zo.Borrow("other", "borrower", Shape{1, 1, OneWorker})
+	is.New(t).True(!found)
+	_, found = zo.Borrow("head", "borrower", Shape{2, 8, OneRack})
+	is.New(t).True(found)
+	_, found = zo.Backfill("other", "borrower", Shape{1, 1, OneWorker})
+	is.New(t).True(found)
+}
+
+func TestLeavingWorker(t *testing.T) {
+	zo := newZone(2, 2, 8)
+	zo.SetGuarantees([]Guarantee{{Workspace: "owner", Count: 1, Shape: Shape{2, 8, OneRack}}})
+	first := zo.WorkerIDs(zo.Reservations()[0].Block)[0]
+	t.Run("its reservation moves", func(t *testing.T) {
+		is.New(t).Equal(len(zo.SetUsable(first, false)), 0)
+		is.New(t).True(zo.WorkerIDs(zo.Reservations()[0].Block)[0] != first)
+	})
+	t.Run("with too few workers the guarantee is short, and says so", func(t *testing.T) {
+		second := zo.WorkerIDs(zo.Reservations()[0].Block)[0]
+		is.New(t).Equal(len(zo.SetUsable(second, false)), 1)
+		is.New(t).True(zo.Unused("owner", Shape{2, 8, OneRack}) == nil)
+	})
+	t.Run("it is whole again when the worker returns", func(t *testing.T) {
+		is.New(t).Equal(len(zo.SetUsable(first, true)), 0)
+		is.New(t).True(zo.Unused("owner", Shape{2, 8, OneRack}) != nil)
+	})
+}
--- a/shared/placer/shape.go
+++ b/shared/placer/shape.go
@@ -64,7 +64,10 @@
 
 // Covers reports whether any block of the shape has room for a gang of the other shape.
 func (sh Shape) Covers(other Shape) bool {
-	if sh.Adjacency > other.Adjacency || other.Accelerators > sh.Accelerators {
+	if sh.Adjacency > other.Adjacency {
+		return other.Total() <= sh.Accelerators // it fits into the place of one member
+	}
+	if other.Accelerators > sh.Accelerators {
 		return false
 	}
 	perMember := sh.Accelerators / other.Accelerators
--- /dev/null
+++ b/shared/router/router_test.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+func newRouter(runners int, se Seats) *Router {
+	ro := New(rand.New(rand.NewPCG(1, 1)))
+	for i := range runners {
+		ro.Set(Runner{ID: identifier.Target(rune('a' + i)), Slots: 8, Connections: 64})
+	}
+	ro.SetSeats(se)
+	return ro
+}
+
+// picks takes as many slots as there are and counts them.
+func picks(ro *Router, now clock.Millis) map[identifier.Target]int {
+	counts := map[identifier.Target]int{}
+	for {
+		ru, found, _ := ro.Pick(now, "")
+		if !found {
+			return counts
+		}
+		counts[ru.ID]++
+	}
+}
+
+func TestShare(t *testing.T) {
+	for name, tc := range map[string]struct {
+		seats Seats
+		want  int
+	}{
+		"half":            {Seats{Held: 1, Of: 2}, 4},
+		"all":             {Seats{Held: 2, Of: 2}, 8},
+		"none":            {Seats{Held: 0, Of: 2}, 0},
+		"uneven rounding": {Seats{Held: 1, Of: 3}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asserter.Equal(t, picks(newRouter(1, tc.seats), 0)["a"], tc.want)
+		})
+	}
+	t.Run("connections bound it too", func(t *testing.T) {
+		ro := newRouter(0, Seats{Held: 1, Of: 1})
+		ro.Set(Runner{ID: "a", Slots: 8, Connections: 3})
+		asserter.Equal(t, picks(ro, 0)["a"], 3)
+	})
+	t.Run("Within tells when a seat can be given up", func(t *testing.T) {
+		ro := newRouter(1, Seats{Held: 2, Of: 2})
+		picks(ro, 0)
+		asserter.Equal(t, ro.Within(Seats{Held: 1, Of: 2}), false)
+		for range 4 {
+			ro.Done("a", Answered, 0)
+		}
+		asserter.Equal(t, ro.Within(Seats{Held: 1, Of: 2}), true)
+	})
+}
+
+func TestPickSpreadsLoad(t *testing.T) {
+	ro := newRouter(4, Seats{Held: 1, Of: 1})
+	counts := map[identifier.Target]int{}
+	for range 16 {
+		ru, _, _ := ro.Pick(0, "")
+		counts[ru.ID]++
+	}
+	for id, count := range counts {
+		if count > 6 {
+			t.Fatalf("runner %s has %d of 16 requests", id, count)
+		}
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	ro := newRouter(2, Seats{Held: 1, Of: 1})
+	t.Run("a draining runner gets nothing", func(t *testing.T) {
+		ro.Drain([]identifier.Target{"a"})
+		asserter.Equal(t, picks(ro, 0)["a"], 0)
+	})
+	t.Run("nor does one that leaves", func(t *testing.T) {
+		ro.Set(Runner{ID: "b", Slots: 8, Connections: 64, Leaving: true})
+		asserter.Equal(t, ro.Usable(0), 0)
+	})
+}
+
+func TestBreaking(t *testing.T) {
+	ro := newRouter(1, Seats{Held: 1, Of: 1})
+	breakIt := func(now clock.Millis) {
+		_, _, _ = ro.Pick(now, "")
+		ro.Done("a", Broken, now)
+	}
+	t.Run("failures in a row take it out", func(t *testing.T) {
+		for range failuresToOpen {
+			breakIt(0)
+		}
+		asserter.Equal(t, ro.Usable(0), 0)
+		asserter.Equal(t, ro.NextOpen(0), firstOpen)
+	})
+	t.Run("it comes back with one request at a time", func(t *testing.T) {
+		asserter.Equal(t, picks(ro, firstOpen)["a"], 1)
+	})
+	t.Run("a failure then doubles the time", func(t *testing.T) {
+		ro.Done("a", Broken, firstOpen)
+		asserter.Equal(t, ro.NextOpen(firstOpen), firstOpen+2*firstOpen)
+	})
+	t.Run("answers open it step by step", func(t *testing.T) {
+		now := 10 * clock.Second
+		for _, want := range []int{1, 2, 4, 8} {
+			asserter.Equal(t, picks(ro, now)["a"], want)
+			for range want - 1 {
+				ro.Done("a", Refused, now)
+			}
+			ro.Done("a", Answered, now)
+		}
+	})
+}
+
+func TestFreedWakes(t *testing.T) {
+	ro := newRouter(1, Seats{Held: 1, Of: 8})
+	_, found, _ := ro.Pick(0, "")
+	asserter.Equal(t, found, true)
+	_, found, freed := ro.Pick(0, "")
+	asserter.Equal(t, found, false)
+	ro.Done("a", Answered, 0)
+	<-freed
+	_, found, _ = ro.Pick(0, "")
+	asserter.Equal(t, found, true)
+}
--- /dev/null
+++ b/wagtailcroft/cmd_jobs_cancel.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/printer"
+)
+
+var cmdJobsCancel = command{
+	path: []string{"jobs", "cancel"},
+	help: "Cancel a job; it ends as a whole.",
+	bind: func(cl *kingpin.CmdClause) func(*env) error {
+		job := cl.Arg("job", "Job to cancel.").Required().String()
+		return func(en *env) error { return jobsCancel(en, identifier.Job(*job)) }
+	},
+}
+
+func jobsCancel(en *env, id identifier.Job) error {
+	an, err := en.client.CancelAnyJobWithResponse(context.Background(), id)
+	if err != nil || an.JSON200 == nil {
+		return refusalOf(an, err)
+	}
+	return en.printer.Print(an.JSON200, printer.Table{Header: jobHeader, Rows: [][]string{jobRow(*an.JSON200)}})
+}
--- /dev/null
+++ b/wagtailcroft/cmd_table_get.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/parser"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/printer"
+)
+
+var cmdTableGet = command{
+	path: []string{"table", "get"},
+	help: "Show the table, or one row with all its cells.",
+	bind: func(cl *kingpin.CmdClause) func(*env) error {
+		workspace := cl.Arg("workspace", "Workspace to show.").String()
+		return func(en *env) error { return tableGet(en, identifier.Workspace(*workspace)) }
+	},
+}
+
+func tableGet(en *env, ws identifier.Workspace) error {
+	table, err := getTable(en)
+	if err != nil {
+		return err
+	}
+	if ws != "" {
+		return showRow(en, table, ws)
+	}
+	ta := printer.Table{Header: []string{"workspace", "version", "weight", "accelerators", "requests", "urgent", "guarantees"}}
+	for _, row := range table.Rows {
+		ta.Rows = append(ta.Rows, []string{
+			string(row.Workspace),
+			strconv.FormatInt(int64(row.RowVersion), 10),
+			strconv.Itoa(int(row.Cells.Weight)),
+			strconv.Itoa(int(row.Cells.Limits.Accelerators)),
+			strconv.Itoa(int(row.Cells.Limits.Requests)),
+			strconv.FormatBool(row.Cells.UrgentAllowed),
+			parser.Show(row.Cells)[1][1],
+		})
+	}
+	return en.printer.Print(table, ta)
+}
+
+func getTable(en *env) (operator.Table, error) {
+	an, err := en.client.GetTableWithResponse(context.Background())
+	if err != nil || an.JSON200 == nil {
+		return operator.Table{}, refusalOf(an, err)
+	}
+	return *an.JSON200, nil
+}
+
+func showRow(en *env, table operator.Table, ws identifier.Workspace) error {
+	row, found := rowOf(table, ws)
+	if !found {
+		return noRow(ws)
+	}
+	ta := printer.Table{Header: []string{"cell", "value"}, Rows: parser.Show(row.Cells)}
+	ta.Rows = append(ta.Rows, []string{"(row version)", strconv.FormatInt(int64(row.RowVersion), 10)})
+	return en.printer.Print(row, ta)
+}
+
+func rowOf(table operator.Table, ws identifier.Workspace) (operator.RowView, bool) {
+	for _, row := range table.Rows {
+		if row.Workspace == ws {
+			return row, true
+		}
+	}
+	return operator.RowView{Workspace: ws}, false
+}
--- /dev/null
+++ b/wagtailcroft/cmd_table_history.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/printer"
+)
+
+var cmdTableHistory = command{
+	path: []string{"table", "history"},
+	help: "Show the accepted changes, oldest first.",
+	bind: func(cl *kingpin.CmdClause) func(*env) error {
+		workspace := cl.Arg("workspace", "Show only this workspace.").String()
+		return func(en *env) error { return tableHistory(en, identifier.Workspace(*workspace)) }
+	},
+}
+
+func tableHistory(en *env, ws identifier.Workspace) error {
+	history, err := getHistory(en, ws)
+	if err != nil {
+		return err
+	}
+	ta := printer.Table{Header: []string{"version", "author", "workspace", "cell", "before", "after"}}
+	for _, entry := range history.Entries {
+		for _, ch := range entry.Changes {
+			ta.Rows = append(ta.Rows, []string{versionWord(entry.TableVersion), entry.Author, string(ch.Workspace), ch.Cell, ch.Before, ch.After})
+		}
+	}
+	return en.printer.Print(history, ta)
+}
+
+func getHistory(en *env, ws identifier.Workspace) (operator.History, error) {
+	an, err := en.client.GetHistoryWithResponse(context.Background(), &operator.GetHistoryParams{Workspace: ws})
+	if err != nil || an.JSON200 == nil {
+		return operator.History{}, refusalOf(an, err)
+	}
+	return *an.JSON200, nil
+}
--- /dev/null
+++ b/wagtailcroft/cmd_targets_list.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/printer"
+)
+
+var (
+	cmdTargetsList = command{
+		path: []string{"targets", "list"},
+		help: "List runners and workers.",
+		bind: func(*kingpin.CmdClause) func(*env) error {
+			return func(en *env) error { return listTargets(en, "") }
+		},
+	}
+
+	targetHeader = []string{"target", "kind", "zone", "rack", "accelerators", "state"}
+)
+
+// listTargets prints the targets of a kind, or all.
+func listTargets(en *env, kind operator.TargetViewKind) error {
+	an, err := en.client.ListTargetsWithResponse(context.Background())
+	if err != nil || an.JSON200 == nil {
+		return refusalOf(an, err)
+	}
+	list := operator.TargetList{Targets: []operator.TargetView{}}
+	ta := printer.Table{Header: targetHeader}
+	for _, target := range an.JSON200.Targets {
+		if kind == "" || target.Kind == kind {
+			list.Targets = append(list.Targets, target)
+			ta.Rows = append(ta.Rows, targetRow(target))
+		}
+	}
+	return en.printer.Print(list, ta)
+}
+
+func targetRow(target operator.TargetView) []string {
+	return []string{
+		string(target.TargetID),
+		string(target.Kind),
+		string(target.Zone),
+		string(target.Rack),
+		strconv.Itoa(int(target.Accelerators)),
+		string(target.State),
+	}
+}
--- /dev/null
+++ b/wagtailcroft/main.go
@@ -0,0 +1,10 @@
+// Command wagtailcroft is the client for operators.
+package main
+
+import (
+	"os"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/wagtailcroft/printer/printer.go
@@ -0,0 +1,61 @@
+// Package printer prints answers as tables for people or as JSON for programs.
+package printer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	minWidth = 2
+	padding  = 2
+)
+
+type (
+	// Printer prints to one place in one way.
+	Printer struct {
+		out  io.Writer
+		json bool
+	}
+
+	// Table is what people see: a header and rows of as many cells.
+	Table struct {
+		Header []string
+		Rows   [][]string
+	}
+)
+
+// New returns a printer of tables, or of JSON.
+func New(out io.Writer, json bool) *Printer { return &Printer{out: out, json: json} }
+
+// Print prints the message, or the table that shows it.
+func (pr *Printer) Print(message any, ta Table) error {
+	if pr.json {
+		encoder := json.NewEncoder(pr.out)
+		encoder.SetIndent("", "  ")
+		return eris.Wrap(encoder.Encode(message), "print")
+	}
+	return pr.table(ta)
+}
+
+// Text prints one line.
+func (pr *Printer) Text(line string) error {
+	_, err := fmt.Fprintln(pr.out, line)
+	return eris.Wrap(err, "print")
+}
+
+func (pr *Printer) table(ta Table) error {
+	out := tabwriter.NewWriter(pr.out, minWidth, 0, padding, ' ', 0)
+	if len(ta.Header) > 0 {
+		_, _ = fmt.Fprintln(out, strings.ToUpper(strings.Join(ta.Header, "\t")))
+	}
+	for _, row := range ta.Rows {
+		_, _ = fmt.Fprintln(out, strings.Join(row, "\t"))
+	}
+	return eris.Wrap(out.Flush(), "print")
+}
--- a/wagtailcroftd/leaser/leaser.go
+++ b/wagtailcroftd/leaser/leaser.go
@@ -220,7 +220,7 @@
 	if holder == "" {
 		ob.Lost()
 	}
-	if ob == le.scheduler && rise > 0 {
+	if ob == le.scheduler && rise > 0 && holder != "" {
 		le.epoch, le.fence = row.Epoch, version
 		le.Log.Info().Int64("epoch", int64(row.Epoch)).Msg("schedulerLeaseTaken")
 	}
