--- a/shared/estimator/estimator.go
+++ b/shared/estimator/estimator.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	learningRate  = 0.2  // weight of the newest observation
+	learningRate  = 0.1  // least weight of the newest observation
 	largestRatio  = 20.0 // observations beyond it, or below its inverse, are cut
-	trustedAfter  = 3    // observations before the learned ratio is used in full
+	trustedAfter  = 3    // observations before what was learned is used in full
 	mostHistories = 4096 // kinds remembered; the rest go by their declared time
+	leastVariance = 0.01 // keeps weights finite
 )
 
 type (
@@ -23,19 +24,24 @@
 		Name      string
 	}
 
-	// Estimator keeps the ratio of real to declared run time for each kind. It is not
-	// safe for concurrent use; its owner guards it.
+	// Estimator keeps a history for each kind. It is not safe for concurrent use; its
+	// owner guards it.
 	Estimator struct {
 		// histories never holds more than mostHistories entries.
 		histories map[Kind]history
 	}
 
 	history struct {
-		// logRatio is the moving mean of the logarithm of real over declared time.
-		logRatio float64
+		// ratio follows the logarithm of real over declared time.
+		ratio moments
+		// took follows the logarithm of the real time in milliseconds.
+		took moments
 		// count is the number of observations.
 		count int
 	}
+
+	// moments are a moving mean and variance.
+	moments struct{ mean, variance float64 }
 )
 
 // New returns an estimator that has seen nothing.
@@ -48,17 +54,29 @@
 		return
 	}
 	ratio := float64(max(took, 1)) / float64(max(declared, 1))
-	seen := math.Log(min(max(ratio, 1/largestRatio), largestRatio))
+	ratio = min(max(ratio, 1/largestRatio), largestRatio)
 	rate := max(learningRate, 1/float64(hi.count+1))
-	hi.logRatio += rate * (seen - hi.logRatio)
+	hi.ratio.follow(math.Log(ratio), rate)
+	hi.took.follow(math.Log(float64(max(took, 1))), rate)
 	hi.count++
 	es.histories[ki] = hi
 }
 
+func (mo *moments) follow(seen, rate float64) {
+	off := seen - mo.mean
+	mo.mean += rate * off
+	mo.variance = (1 - rate) * (mo.variance + rate*off*off)
+}
+
 // Expect returns the expected run time of work that is declared to take a time, at least
-// one millisecond.
+// one millisecond. Of the corrected declaration and the usual time of the kind, the one
+// that has varied less weighs more.
 func (es *Estimator) Expect(ki Kind, declared clock.Millis) clock.Millis {
 	hi := es.histories[ki]
+	said := math.Log(float64(max(declared, 1)))
+	byRatio := 1 / max(hi.ratio.variance, leastVariance)
+	byKind := 1 / max(hi.took.variance, leastVariance)
+	learned := ((said+hi.ratio.mean)*byRatio + hi.took.mean*byKind) / (byRatio + byKind)
 	trust := min(float64(hi.count)/trustedAfter, 1)
-	return max(clock.Millis(float64(declared)*math.Exp(trust*hi.logRatio)), 1)
+	return max(clock.Millis(math.Round(math.Exp(said+trust*(learned-said)))), 1)
 }
--- a/shared/placer/finder.go
+++ b/shared/placer/finder.go
@@ -18,6 +18,10 @@
 // roomFree is what is free and not held. Borrowed work may be placed there.
 func roomFree(wo *worker) meter.Accelerators { return wo.free() - wo.held }
 
+// roomUnpromised is what is free and not promised to a gang that others were preempted
+// for.
+func roomUnpromised(wo *worker) meter.Accelerators { return min(wo.free(), wo.coming()) }
+
 // roomReclaimable is what would be free without borrowed work, reservations kept.
 func roomReclaimable(wo *worker) meter.Accelerators { return wo.total - wo.fixed - wo.reserved }
 
@@ -36,8 +40,8 @@
 	return 0
 }
 
-// find returns the block that leaves the least room over: the fullest worker or rack that
-// still fits, so that large blocks stay whole.
+// find returns the block that does the least damage to what is asked for, and among
+// those the one that leaves the least room over, so that large blocks stay whole.
 func (zo *Zone) find(sh Shape, ro room) (Block, bool) {
 	switch sh.Adjacency {
 	case OneWorker:
@@ -49,16 +53,34 @@
 	}
 }
 
+// cost orders places: less damage first, then less room in the worker, then in the rack.
+type cost struct {
+	damage float64
+	worker meter.Accelerators
+	rack   meter.Accelerators
+}
+
+func (co cost) less(other cost) bool {
+	if co.damage != other.damage {
+		return co.damage < other.damage
+	}
+	if co.worker != other.worker {
+		return co.worker < other.worker
+	}
+	return co.rack < other.rack
+}
+
 func (zo *Zone) findWorker(sh Shape, ro room) (Block, bool) {
-	best, bestLeft, bestRack := -1, meter.Accelerators(0), meter.Accelerators(0)
-	rackRoom := zo.rackRoom(ro)
+	best, bestCost := -1, cost{}
+	rackRoom, slots := zo.rackRoom(ro), zo.rackSlots(ro)
 	for i := range zo.workers {
 		if zo.fits(i, sh, ro) < int(sh.Members) {
 			continue
 		}
-		left, inRack := ro(&zo.workers[i]), rackRoom[zo.workers[i].rack]
-		if best < 0 || left < bestLeft || left == bestLeft && inRack < bestRack {
-			best, bestLeft, bestRack = i, left, inRack
+		left, ra := ro(&zo.workers[i]), zo.workers[i].rack
+		co := cost{damage: zo.damage(slots[ra], left, sh.Total()), worker: left, rack: rackRoom[ra]}
+		if best < 0 || co.less(bestCost) {
+			best, bestCost = i, co
 		}
 	}
 	if best < 0 {
@@ -68,20 +90,21 @@
 }
 
 func (zo *Zone) findRack(sh Shape, ro room) (Block, bool) {
-	best, bestLeft := -1, meter.Accelerators(0)
-	rackRoom := zo.rackRoom(ro)
+	var best Block
+	var bestCost cost
+	found := false
+	rackRoom, slots := zo.rackRoom(ro), zo.rackSlots(ro)
 	for ra := range zo.racks {
 		if zo.rackFits(ra, sh, ro) < int(sh.Members) {
 			continue
 		}
-		if best < 0 || rackRoom[ra] < bestLeft {
-			best, bestLeft = ra, rackRoom[ra]
+		bl := zo.fill(sh, zo.racks[ra].workers, ro)
+		co := cost{damage: zo.blockDamage(slots[ra], bl, ro), rack: rackRoom[ra]}
+		if !found || co.less(bestCost) {
+			best, bestCost, found = bl, co, true
 		}
 	}
-	if best < 0 {
-		return Block{}, false
-	}
-	return zo.fill(sh, zo.racks[best].workers, ro), true
+	return best, found
 }
 
 // findZone fills racks in the order of their room, fullest rack first.
--- a/shared/placer/hold.go
+++ b/shared/placer/hold.go
@@ -14,10 +14,27 @@
 // Backfill places a borrowed gang on held accelerators too. The caller makes sure that
 // the gang ends before the holds are needed.
 func (zo *Zone) Backfill(job identifier.Job, ws identifier.Workspace, sh Shape) (Placement, bool) {
-	bl, found := zo.find(sh, func(wo *worker) meter.Accelerators { return wo.free() })
+	var bl Block
+	found := false
+	zo.without(job, func() { bl, found = zo.find(sh, roomUnpromised) })
 	return Placement{Job: job, Workspace: ws, Block: bl}, found
 }
 
+// Kept places a gang on the block that is kept for it, once that is free and not promised
+// to others.
+func (zo *Zone) Kept(job identifier.Job, ws identifier.Workspace) (Placement, bool) {
+	ho, found := zo.holds[job]
+	if !found {
+		return Placement{}, false
+	}
+	zo.without(job, func() {
+		for _, sr := range ho.block.Shares {
+			found = found && zo.fits(sr.Worker, ho.block.Shape, roomUnpromised) >= sr.Members
+		}
+	})
+	return Placement{Job: job, Workspace: ws, Block: ho.block}, found
+}
+
 // Earliest returns the block for a waiting gang that is expected to be free first, and
 // the moment, now or later. Accelerators held for others do not count.
 func (zo *Zone) Earliest(sh Shape, now clock.Millis, ends Ends) (Block, clock.Millis, bool) {
@@ -118,8 +135,14 @@
 }
 
 // Evict finds the block and the borrowed gangs, of those that may be chosen, whose
-// preemption loses the least and lets a borrowed gang of the shape start.
+// preemption loses the least and lets a borrowed gang of the shape start. Of what is held
+// for others only what is promised stands in its way.
 func (zo *Zone) Evict(job identifier.Job, ws identifier.Workspace, sh Shape, may func(*Gang) bool, lost Lost) (Placement, int64, bool) {
+	own, held := zo.holds[job]
+	if held {
+		zo.Unhold(job)
+		defer zo.setHold(job, own)
+	}
 	users := make([][]*Gang, len(zo.workers))
 	movable := make([]meter.Accelerators, len(zo.workers))
 	for index, gangs := range zo.borrowers() {
@@ -155,7 +178,7 @@
 		if !wo.usable {
 			continue
 		}
-		room := wo.free() + movable[index] - wo.held
+		room := wo.coming() + movable[index]
 		take := min(missing, int(max(room, 0)/sh.Accelerators))
 		if take > 0 {
 			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
--- a/shared/placer/place.go
+++ b/shared/placer/place.go
@@ -49,15 +49,22 @@
 	return Placement{Job: job, Workspace: ws, Block: bl, Fixed: true}, found
 }
 
+// Fixable reports whether a gang of the shape has room outside all reservations once the
+// borrowed work has gone.
+func (zo *Zone) Fixable(sh Shape) bool {
+	_, found := zo.find(sh, roomReclaimable)
+	return found
+}
+
 // without runs a search for the holder of a hold, for whom its own hold is no obstacle.
 func (zo *Zone) without(job identifier.Job, search func()) {
-	bl, held := zo.holds[job]
+	ho, held := zo.holds[job]
 	if held {
 		zo.Unhold(job)
 	}
 	search()
 	if held {
-		zo.Hold(job, bl)
+		zo.setHold(job, ho)
 	}
 }
 
@@ -147,6 +154,9 @@
 		re.User = nil
 	}
 	zo.occupy(ga, -1)
+	if ga.Leaving {
+		zo.countLeaving(ga, -1)
+	}
 	delete(zo.gangs, job)
 	if re != nil {
 		zo.reserve(re)
@@ -180,30 +190,64 @@
 	}
 }
 
+// Leave marks a gang as told to go: its accelerators count as coming free, and it is not
+// chosen as a victim again.
+func (zo *Zone) Leave(job identifier.Job) {
+	ga, found := zo.gangs[job]
+	if !found || ga.Leaving {
+		return
+	}
+	ga.Leaving = true
+	zo.countLeaving(ga, 1)
+}
+
+func (zo *Zone) countLeaving(ga *Gang, sign meter.Accelerators) {
+	for _, sr := range ga.Block.Shares {
+		zo.workers[sr.Worker].leaving += sign * ga.Block.Shape.accelerators(sr)
+	}
+}
+
 // Hold keeps a block free for a waiting gang: other work is placed elsewhere, and what
 // is in use there is not given out again once it is free.
-func (zo *Zone) Hold(job identifier.Job, bl Block) {
+func (zo *Zone) Hold(job identifier.Job, bl Block) { zo.setHold(job, hold{block: bl}) }
+
+// Promise keeps the block of a placement for its gang while the victims go. A reservation
+// moves there at once, so that no other guarantee is placed on it.
+func (zo *Zone) Promise(pl Placement) {
+	if re := pl.Reservation; re != nil {
+		zo.unreserve(re)
+		re.Block = pl.Reserved
+		zo.reserve(re)
+	}
+	zo.setHold(pl.Job, hold{block: pl.Block, promised: true})
+}
+
+func (zo *Zone) setHold(job identifier.Job, ho hold) {
 	zo.Unhold(job)
-	zo.holds[job] = bl
-	zo.hold(bl, 1)
+	zo.holds[job] = ho
+	zo.countHold(ho, 1)
 }
 
 // Unhold gives up the hold of a job, if any.
 func (zo *Zone) Unhold(job identifier.Job) {
-	if bl, found := zo.holds[job]; found {
+	if ho, found := zo.holds[job]; found {
 		delete(zo.holds, job)
-		zo.hold(bl, -1)
+		zo.countHold(ho, -1)
 	}
 }
 
-// Held returns the block that is kept for a job.
-func (zo *Zone) Held(job identifier.Job) (Block, bool) {
-	bl, found := zo.holds[job]
-	return bl, found
+// Holds reports whether a block is kept for a job.
+func (zo *Zone) Holds(job identifier.Job) bool {
+	_, found := zo.holds[job]
+	return found
 }
 
-func (zo *Zone) hold(bl Block, sign meter.Accelerators) {
-	for _, sr := range bl.Shares {
-		zo.workers[sr.Worker].held += sign * bl.Shape.accelerators(sr)
+func (zo *Zone) countHold(ho hold, sign meter.Accelerators) {
+	for _, sr := range ho.block.Shares {
+		count := sign * ho.block.Shape.accelerators(sr)
+		zo.workers[sr.Worker].held += count
+		if ho.promised {
+			zo.workers[sr.Worker].promised += count
+		}
 	}
 }
--- a/shared/placer/reclaim.go
+++ b/shared/placer/reclaim.go
@@ -75,11 +75,12 @@
 	return bl
 }
 
-// borrowers lists for each worker the borrowed gangs on it, in the order of their jobs.
+// borrowers lists for each worker the borrowed gangs on it that have not been told to go,
+// in the order of their jobs.
 func (zo *Zone) borrowers() [][]*Gang {
 	users := make([][]*Gang, len(zo.workers))
 	for _, ga := range zo.Gangs() {
-		if ga.Fixed {
+		if ga.Fixed || ga.Leaving {
 			continue
 		}
 		for _, sr := range ga.Block.Shares {
@@ -95,7 +96,7 @@
 	ca := candidate{reserved: reserved, block: zo.innerFreest(reserved, sh)}
 	gone := map[*Gang]bool{}
 	for _, sr := range ca.block.Shares {
-		need := sh.accelerators(sr) - zo.workers[sr.Worker].free()
+		need := sh.accelerators(sr) - zo.workers[sr.Worker].coming()
 		for ga := range gone {
 			need -= ga.on(sr.Worker)
 		}
@@ -120,7 +121,7 @@
 func (zo *Zone) innerFreest(bl Block, sh Shape) Block {
 	shares := slices.Clone(bl.Shares)
 	slices.SortStableFunc(shares, func(a, b Share) int {
-		return int(zo.workers[b.Worker].free() - zo.workers[a.Worker].free())
+		return int(zo.workers[b.Worker].coming() - zo.workers[a.Worker].coming())
 	})
 	return Block{Shape: bl.Shape, Shares: shares}.innerInOrder(sh)
 }
@@ -143,10 +144,11 @@
 	return victims
 }
 
-// suffices reports whether the block is free once the victims are gone.
+// suffices reports whether the block is free once the victims, and those told to go
+// before, are gone.
 func (zo *Zone) suffices(bl Block, victims []*Gang) bool {
 	for _, sr := range bl.Shares {
-		free := zo.workers[sr.Worker].free()
+		free := zo.workers[sr.Worker].coming()
 		for _, ga := range victims {
 			free += ga.on(sr.Worker)
 		}
@@ -182,3 +184,13 @@
 	})
 	return list
 }
+
+// Clear reports whether a block is free now.
+func (zo *Zone) Clear(bl Block) bool {
+	for _, sr := range bl.Shares {
+		if zo.workers[sr.Worker].free() < bl.Shape.accelerators(sr) {
+			return false
+		}
+	}
+	return true
+}
--- a/shared/placer/zone.go
+++ b/shared/placer/zone.go
@@ -24,10 +24,12 @@
 		gangs   map[identifier.Job]*Gang
 		// reservations holds one entry for each guaranteed gang, used or not.
 		reservations []*Reservation
-		// holds keeps blocks free for waiting gangs; see Hold.
-		holds map[identifier.Job]Block
+		// holds keeps blocks free for waiting gangs; see Hold and Promise.
+		holds map[identifier.Job]hold
 		// usage sums the accelerators of the gangs of each workspace.
 		usage map[identifier.Workspace]meter.Accelerators
+		// demands lists the shapes asked for most, heaviest first.
+		demands []demand
 	}
 
 	// worker keeps the sums of one worker. For a usable worker
@@ -42,8 +44,12 @@
 		borrowed meter.Accelerators
 		// reserved is set aside by reservations and not in use by their own gang.
 		reserved meter.Accelerators
-		// held is kept free for waiting gangs.
-		held meter.Accelerators
+		// held is kept free for waiting gangs; promised is the part of it that gangs were
+		// preempted for.
+		held     meter.Accelerators
+		promised meter.Accelerators
+		// leaving is the part of fixed and borrowed that has been told to go.
+		leaving meter.Accelerators
 		// usable is false for a worker that gets no new work.
 		usable bool
 	}
@@ -62,6 +68,15 @@
 		Fixed bool
 		// Reservation is what the gang uses; nil unless it was placed by a guarantee.
 		Reservation *Reservation
+		// Leaving means that the gang has been told to go; see Leave.
+		Leaving bool
+	}
+
+	// hold is a block that is kept for a gang.
+	hold struct {
+		block Block
+		// promised means that gangs were preempted for it.
+		promised bool
 	}
 
 	// Reservation sets a block aside for one guaranteed gang.
@@ -82,7 +97,7 @@
 	zo := &Zone{
 		byID:  map[identifier.Worker]int{},
 		gangs: map[identifier.Job]*Gang{},
-		holds: map[identifier.Job]Block{},
+		holds: map[identifier.Job]hold{},
 		usage: map[identifier.Workspace]meter.Accelerators{},
 	}
 	for _, wo := range workers {
@@ -176,6 +191,17 @@
 	return free
 }
 
+// FreeByWorker is what Free sums, worker by worker in the order in which they were added.
+func (zo *Zone) FreeByWorker() []meter.Accelerators {
+	free := make([]meter.Accelerators, len(zo.workers))
+	for i := range zo.workers {
+		if zo.workers[i].usable {
+			free[i] = zo.workers[i].free()
+		}
+	}
+	return free
+}
+
 // Total is the number of accelerators of usable workers.
 func (zo *Zone) Total() meter.Accelerators {
 	var total meter.Accelerators
@@ -195,6 +221,10 @@
 
 func (wo *worker) free() meter.Accelerators { return wo.total - wo.fixed - wo.borrowed }
 
+// coming is what is free once those told to go have gone, beyond what is promised to
+// others.
+func (wo *worker) coming() meter.Accelerators { return wo.free() + wo.leaving - wo.promised }
+
 func compare[T ~string](a, b T) int {
 	switch {
 	case a < b:
--- a/shared/scheduler/compact.go
+++ b/shared/scheduler/compact.go
@@ -6,39 +6,39 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/placer"
 )
 
-const (
-	compactAfter  = 30 * clock.Second // a gang waits this long before others are moved for it
-	compactFactor = 2                 // the gain must be this many times the loss
-)
+const mostClears = 4 // gangs for which a round tries to clear a block
 
-// compact moves borrowed gangs out of a block so that a large gang can start, if they fit
-// elsewhere and the gain is worth the loss.
+// compact moves smaller borrowed gangs out of a block so that a gang can start now instead
+// of when a block is expected to be free, if they fit elsewhere and the gain is worth the
+// loss.
 func (ro *round) compact(jo Job) bool {
-	waited := ro.now - jo.Submitted
-	if waited < compactAfter || jo.Shape.Adjacency == placer.OneZone || ro.zone.Free() < jo.Shape.Total() {
+	if ro.cleared >= mostClears || ro.policy.CompactGain == 0 || jo.Shape.Members == 1 {
 		return false
 	}
+	ro.cleared++
 	may := func(ga *placer.Gang) bool {
 		return ro.mayPreempt(ga) && ga.Block.Shape.Total() < jo.Shape.Total()
 	}
 	pl, lost, found := ro.zone.Evict(jo.ID, jo.Workspace, jo.Shape, may, ro.lost(ro.now))
-	if !found || !ro.worthMoving(jo, pl, lost, waited) {
+	if !found || len(pl.Victims) == 0 || !ro.worthwhile(jo, pl) {
+		return false
+	}
+	ends := func(ga *placer.Gang) clock.Millis { return ro.EndOf(ga, ro.now) }
+	_, at, found := ro.zone.Earliest(jo.Shape, ro.now, ends)
+	gain := int64(at-ro.now) * int64(jo.Shape.Total())
+	if found && gain < ro.policy.CompactGain*lost {
 		return false
 	}
 	ro.preempt(jo, pl)
 	return true
 }
 
-// worthMoving compares what the waiting gang gains with what the moved ones lose. The
-// gain is taken to be as long again as the gang has waited.
-func (ro *round) worthMoving(jo Job, pl placer.Placement, lost int64, waited clock.Millis) bool {
+// worthwhile reports whether the moved gangs fit into what stays free, or are small
+// beside the gang that starts.
+func (ro *round) worthwhile(jo Job, pl placer.Placement) bool {
 	var moved meter.Accelerators
 	for _, ga := range pl.Victims {
 		moved += ga.Block.Shape.Total()
 	}
-	if moved > ro.zone.Free()-jo.Shape.Total()+moved {
-		return false
-	}
-	gain := int64(waited) * int64(jo.Shape.Total())
-	return gain > compactFactor*lost
+	return jo.Shape.Total() <= ro.zone.Free() || float64(moved) <= ro.policy.CompactShare*float64(jo.Shape.Total())
 }
--- a/shared/scheduler/round.go
+++ b/shared/scheduler/round.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	mostHolds         = 2                // waiting gangs that blocks are kept free for
 	mostPreemptsRound = 64               // gangs preempted in one round
-	holdAfter         = 2 * clock.Second // a gang waits this long before a block is kept for it
+	idlePeriod        = 2 * clock.Second // a round is played at least this often while jobs wait
 )
 
 // round is the state of one round.
@@ -20,18 +19,27 @@
 	*Scheduler
 	now       clock.Millis
 	decisions []Decision
-	holds     int
 	preempts  int
+	holds     int
+	// cleared counts the blocks that the round has tried to clear.
+	cleared int
 	// backfillBy is when the first hold is expected to be needed; 0 means none.
 	backfillBy clock.Millis
-	// refused remembers what was found to have no room, so that it is not sought again.
-	refused map[placer.Shape]bool
+	// full and fullHeld remember the shapes that found no room, outside the holds and
+	// within them, so that they are not sought again in the round.
+	full     map[placer.Shape]bool
+	fullHeld map[placer.Shape]bool
 }
 
 // Round decides what to start and what to preempt now. Placements without victims have
-// taken effect in the zone when it returns; the caller undoes one with Wait.
+// taken effect in the zone when it returns; the caller undoes one with Wait. When nothing
+// has changed it looks again only after a while.
 func (sc *Scheduler) Round(now clock.Millis) []Decision {
-	ro := &round{Scheduler: sc, now: now, refused: map[placer.Shape]bool{}}
+	if len(sc.waiting) == 0 || !sc.changed && now-sc.lastRound < idlePeriod {
+		return nil
+	}
+	sc.changed, sc.lastRound = false, now
+	ro := &round{Scheduler: sc, now: now, full: map[placer.Shape]bool{}, fullHeld: map[placer.Shape]bool{}}
 	ro.countHolds()
 	for _, jo := range sc.line(now) {
 		ro.consider(jo)
@@ -42,7 +50,7 @@
 // countHolds takes over the holds of earlier rounds.
 func (ro *round) countHolds() {
 	for id, at := range ro.holdAt {
-		if _, held := ro.zone.Held(id); !held {
+		if !ro.zone.Holds(id) {
 			delete(ro.holdAt, id)
 			continue
 		}
@@ -65,6 +73,7 @@
 	case ro.zone.InUse(jo.Workspace)+jo.Shape.Total() > ws.Limit:
 		ro.reasons[jo.ID] = Reason{Code: AtLimit, Limit: ws.Limit, InUse: ro.zone.InUse(jo.Workspace)}
 	case ro.guaranteed(jo):
+	case ro.kept(jo):
 	case ro.spared(jo):
 	case jo.Urgent:
 		ro.urgent(jo)
@@ -90,7 +99,7 @@
 		return false
 	}
 	pl := ro.zone.Guaranteed(jo.ID, re, jo.Shape, ro.lost(ro.now))
-	if len(pl.Victims) == 0 {
+	if len(pl.Victims) == 0 && ro.zone.Clear(pl.Block) {
 		ro.start(jo, pl)
 		return true
 	}
@@ -98,7 +107,17 @@
 	return true
 }
 
-// spared places a job that has been preempted often where it will not be again.
+// kept starts the job on the block that was kept for it.
+func (ro *round) kept(jo Job) bool {
+	pl, found := ro.zone.Kept(jo.ID, jo.Workspace)
+	if found {
+		ro.start(jo, pl)
+	}
+	return found
+}
+
+// spared places a job that has been preempted often where it will not be again, or has it
+// wait for such a place. Where the guarantees leave none, it is placed as before.
 func (ro *round) spared(jo Job) bool {
 	if jo.Preemptions < ro.policy.MaxPreemptions {
 		return false
@@ -108,16 +127,24 @@
 		ro.start(jo, pl)
 		return true
 	}
+	if !ro.zone.Fixable(jo.Shape) {
+		return false
+	}
 	ro.reasons[jo.ID] = Reason{Code: NoRoomSpared}
 	ro.hold(jo)
 	return true
 }
 
-// urgent starts the job now, preempting borrowed work that is not urgent if it must.
+// urgent starts the job now, on held accelerators if it must, and else preempts borrowed
+// work that is not urgent.
 func (ro *round) urgent(jo Job) {
 	if ro.borrow(jo) {
 		return
 	}
+	if pl, found := ro.zone.Backfill(jo.ID, jo.Workspace, jo.Shape); found {
+		ro.start(jo, pl)
+		return
+	}
 	may := func(ga *placer.Gang) bool { return ro.mayPreempt(ga) && !ro.running[ga.Job].Job.Urgent }
 	pl, _, found := ro.zone.Evict(jo.ID, jo.Workspace, jo.Shape, may, ro.lost(ro.now))
 	if !found {
@@ -130,51 +157,55 @@
 // mayPreempt reports whether a gang is borrowed, runs, and has not been told to go.
 func (ro *round) mayPreempt(ga *placer.Gang) bool {
 	_, runs := ro.running[ga.Job]
-	_, stopping := ro.stopping[ga.Job]
-	return !ga.Fixed && runs && !stopping
+	return !ga.Fixed && runs && !ga.Leaving
 }
 
-// normal starts the job if there is room, else keeps a block for it if it is far enough
-// ahead in the line.
+// normal starts the job if there is room, else keeps a block for it if it has waited long
+// for its length.
 func (ro *round) normal(jo Job) {
 	if ro.borrow(jo) {
 		return
 	}
 	ro.reasons[jo.ID] = Reason{Code: NoRoom, Free: ro.zone.Free(), HoldAt: ro.holdAt[jo.ID]}
-	if ro.compact(jo) {
-		return
+	if !ro.compact(jo) {
+		ro.hold(jo)
 	}
-	ro.hold(jo)
 }
 
 // borrow starts the job as borrowed work, on held accelerators only if it is expected to
 // end before they are needed.
 func (ro *round) borrow(jo Job) bool {
-	_, holds := ro.zone.Held(jo.ID)
-	if ro.refused[jo.Shape] && !holds {
-		return false
-	}
-	if pl, found := ro.zone.Borrow(jo.ID, jo.Workspace, jo.Shape); found {
-		ro.start(jo, pl)
-		return true
-	}
-	if !holds && ro.backfillBy != 0 && ro.now+jo.Expected <= ro.backfillBy {
-		if pl, found := ro.zone.Backfill(jo.ID, jo.Workspace, jo.Shape); found {
+	holds := ro.zone.Holds(jo.ID)
+	if holds || !ro.full[jo.Shape] {
+		if pl, found := ro.zone.Borrow(jo.ID, jo.Workspace, jo.Shape); found {
 			ro.start(jo, pl)
 			return true
 		}
+		ro.full[jo.Shape] = ro.full[jo.Shape] || !holds
+	}
+	if holds || ro.fullHeld[jo.Shape] || ro.now+jo.Expected > ro.backfillBy {
+		return false
 	}
-	if !holds && ro.backfillBy == 0 {
-		ro.refused[jo.Shape] = true
+	pl, found := ro.zone.Backfill(jo.ID, jo.Workspace, jo.Shape)
+	if !found {
+		ro.fullHeld[jo.Shape] = true
+		return false
 	}
-	return false
+	ro.start(jo, pl)
+	return true
 }
 
-// hold keeps the block that is expected to be free first for a gang.
+// hold keeps the block that is expected to be free first for a gang that has waited long
+// for its length. A hold that was not free in time is chosen anew.
 func (ro *round) hold(jo Job) {
-	if _, held := ro.zone.Held(jo.ID); held || ro.holds >= mostHolds || ro.now-jo.Submitted < holdAfter {
+	held := ro.zone.Holds(jo.ID)
+	if held && ro.now < ro.holdAt[jo.ID] {
+		return
+	}
+	if !held && (ro.holds >= ro.policy.MostHolds || ro.waitedRatio(jo) < ro.policy.HoldRatio) {
 		return
 	}
+	ro.zone.Unhold(jo.ID)
 	ends := func(ga *placer.Gang) clock.Millis { return ro.EndOf(ga, ro.now) }
 	bl, at, found := ro.zone.Earliest(jo.Shape, ro.now, ends)
 	if !found {
@@ -183,11 +214,19 @@
 	ro.zone.Hold(jo.ID, bl)
 	ro.holdAt[jo.ID] = at
 	ro.keep(at)
-	clear(ro.refused)
+}
+
+// waitedRatio is the time a job has waited over its expected run time.
+func (ro *round) waitedRatio(jo Job) float64 {
+	return float64(ro.now-jo.Submitted) / float64(max(jo.Expected, 1))
 }
 
 // start makes a placement take effect.
 func (ro *round) start(jo Job, pl placer.Placement) {
+	if ro.zone.Holds(jo.ID) {
+		clear(ro.full)
+		clear(ro.fullHeld)
+	}
 	ro.zone.Commit(pl)
 	delete(ro.waiting, jo.ID)
 	delete(ro.reasons, jo.ID)
@@ -196,21 +235,26 @@
 	ro.decisions = append(ro.decisions, Decision{Job: jo, Placement: pl})
 }
 
-// preempt tells the victims to go and keeps their block for the job.
+// preempt tells the victims to go and keeps their block for the job. A round that would
+// preempt too many leaves the rest to the next.
 func (ro *round) preempt(jo Job, pl placer.Placement) {
 	ro.reasons[jo.ID] = Reason{Code: WaitsForVictims}
-	if ro.preempts+len(pl.Victims) > mostPreemptsRound {
+	if ro.preempts > 0 && ro.preempts+len(pl.Victims) > mostPreemptsRound {
+		ro.changed = true
 		return
 	}
-	var ids []identifier.Job
+	ids := make([]identifier.Job, 0, len(pl.Victims))
 	for _, ga := range pl.Victims {
-		if _, stopping := ro.stopping[ga.Job]; !stopping {
-			ids = append(ids, ga.Job)
-			ro.stopping[ga.Job] = jo.ID
-		}
+		ids = append(ids, ga.Job)
+		ro.stopping[ga.Job] = jo.ID
+		ro.zone.Leave(ga.Job)
 	}
 	ro.preempts += len(ids)
-	ro.zone.Hold(jo.ID, pl.Block)
+	if jo.Urgent || pl.Reservation != nil {
+		ro.zone.Promise(pl)
+	} else {
+		ro.zone.Hold(jo.ID, pl.Block) // urgent work may still take it
+	}
 	ro.holdAt[jo.ID] = ro.now
 	if len(ids) > 0 {
 		ro.decisions = append(ro.decisions, Decision{Job: jo, Placement: pl, Preempt: ids})
--- a/shared/scheduler/scheduler.go
+++ b/shared/scheduler/scheduler.go
@@ -30,6 +30,19 @@
 		MaxPreemptions int32
 		// RestartCost is what a preempted gang loses by its checkpoint and new start.
 		RestartCost clock.Millis
+		// MostHolds is the number of waiting gangs that blocks are kept free for.
+		MostHolds int
+		// HoldRatio is how long a gang waits, in its expected run times, before a block is
+		// kept free for it.
+		HoldRatio float64
+		// CompactGain is how many times the loss of moving gangs the gain must be; 0 means
+		// that none are moved.
+		CompactGain int64
+		// CompactShare is the part of a gang's size up to which smaller gangs are moved for
+		// it even if they find no room elsewhere at once.
+		CompactShare float64
+		// WeighsDemand means that placements spare blocks that are often asked for.
+		WeighsDemand bool
 	}
 
 	// Workspace is what the shared table says of a workspace.
@@ -82,9 +95,29 @@
 		reasons map[identifier.Job]Reason
 		// holdAt is when the hold of a waiting job is expected to be free.
 		holdAt map[identifier.Job]clock.Millis
+		// changed means that something has come, gone or been moved since lastRound.
+		changed   bool
+		lastRound clock.Millis
 	}
 )
 
+// For returns the policy of a preset.
+func For(pr Preset) Policy {
+	po := Policy{
+		Preset:         pr,
+		MaxPreemptions: 3,
+		RestartCost:    10 * clock.Second,
+		MostHolds:      1,
+		HoldRatio:      8,
+		CompactGain:    1,
+		WeighsDemand:   true,
+	}
+	if pr == Fragmentation {
+		po.CompactShare = 0.25
+	}
+	return po
+}
+
 // New returns a scheduler for a zone.
 func New(po Policy, zo *placer.Zone) *Scheduler {
 	return &Scheduler{
@@ -100,11 +133,18 @@
 }
 
 // SetWorkspace takes over what the shared table says of a workspace.
-func (sc *Scheduler) SetWorkspace(ws Workspace) { sc.workspaces[ws.ID] = ws }
+func (sc *Scheduler) SetWorkspace(ws Workspace) {
+	sc.workspaces[ws.ID] = ws
+	sc.changed = true
+}
 
 // Wait adds a job to the line; a job that was running is released first.
 func (sc *Scheduler) Wait(jo Job) {
 	sc.Remove(jo.ID)
+	sc.changed = true
+	if jo.Preemptions == 0 && sc.policy.WeighsDemand {
+		sc.zone.Saw(jo.Shape)
+	}
 	sc.waiting[jo.ID] = jo
 }
 
@@ -117,6 +157,7 @@
 
 // Remove forgets a job and frees what it holds.
 func (sc *Scheduler) Remove(id identifier.Job) {
+	sc.changed = true
 	sc.zone.Unhold(id)
 	sc.zone.Release(id)
 	delete(sc.waiting, id)
@@ -139,6 +180,7 @@
 func (sc *Scheduler) Stop(id identifier.Job) {
 	if _, runs := sc.running[id]; runs {
 		sc.stopping[id] = id
+		sc.zone.Leave(id)
 	}
 }
 
@@ -156,13 +198,9 @@
 }
 
 // lost is what preempting a gang loses, in accelerator-milliseconds. Gangs that have been
-// preempted before count more, so that no gang is chosen over and over; one that goes
-// anyway loses nothing more.
+// preempted before count more, so that no gang is chosen over and over.
 func (sc *Scheduler) lost(now clock.Millis) placer.Lost {
 	return func(ga *placer.Gang) int64 {
-		if _, stopping := sc.stopping[ga.Job]; stopping {
-			return 0
-		}
 		ru := sc.running[ga.Job]
 		loss := min(now-ru.Started, sc.policy.RestartCost) + sc.policy.RestartCost
 		return int64(loss) * int64(ga.Block.Shape.Total()) * int64(1+ru.Job.Preemptions)
--- a/wagtailcroftd/daemon/parts.go
+++ b/wagtailcroftd/daemon/parts.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 
-	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/router"
@@ -11,9 +10,6 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/executor"
 )
 
-// restartCost is what a checkpoint and a new start are taken to cost a gang.
-const restartCost = 10 * clock.Second
-
 type (
 	// answerer passes questions on to the executor, which is made after its peers.
 	answerer struct{ gangs *executor.Executor }
@@ -37,14 +33,12 @@
 }
 
 func policy(set settings.Scheduling) scheduler.Policy {
-	po := scheduler.Policy{
-		Preset:         scheduler.Completion,
-		MaxPreemptions: set.MaxPreemptions,
-		RestartCost:    restartCost,
-	}
+	preset := scheduler.Completion
 	if set.Preset == settings.SchedulingPresetFragmentation {
-		po.Preset = scheduler.Fragmentation
+		preset = scheduler.Fragmentation
 	}
+	po := scheduler.For(preset)
+	po.MaxPreemptions = set.MaxPreemptions
 	return po
 }
 
