--- a/shared/gen/rows/rows.go
+++ b/shared/gen/rows/rows.go
@@ -169,7 +169,12 @@
 
 	// ExpectedMillis A time or duration in milliseconds.
 	ExpectedMillis externalRef0.Millis `json:"expectedMillis"`
-	Failures       int32               `json:"failures,omitempty"`
+
+	// FailedOn Workers on which a member failed, newest last; later attempts avoid them if they can.
+	FailedOn []externalRef0.WorkerID `json:"failedOn,omitempty"`
+
+	// Failures Attempts of which a member failed.
+	Failures int32 `json:"failures,omitempty"`
 
 	// Fixed The current attempt may not be preempted.
 	Fixed bool `json:"fixed,omitempty"`
--- a/shared/placer/reserve.go
+++ b/shared/placer/reserve.go
@@ -207,12 +207,47 @@
 	return zo.pack(missing)
 }
 
+// Avoiding runs fn without the given workers, unless a gang of the shape could then never
+// be placed.
+func (zo *Zone) Avoiding(ids []identifier.Worker, ws identifier.Workspace, sh Shape, fn func()) {
+	avoided := zo.hide(ids)
+	if len(avoided) > 0 && !zo.Possible(ws, sh) {
+		zo.show(avoided)
+		avoided = nil
+	}
+	fn()
+	zo.show(avoided)
+}
+
+// hide makes usable workers unusable for searches and returns them.
+func (zo *Zone) hide(ids []identifier.Worker) []int {
+	var hidden []int
+	for _, id := range ids {
+		if index, known := zo.byID[id]; known && zo.workers[index].usable {
+			zo.workers[index].usable = false
+			hidden = append(hidden, index)
+		}
+	}
+	return hidden
+}
+
+func (zo *Zone) show(hidden []int) {
+	for _, index := range hidden {
+		zo.workers[index].usable = true
+	}
+}
+
 // Usable reports whether a worker gets new work.
 func (zo *Zone) Usable(id identifier.Worker) bool {
 	index, known := zo.byID[id]
 	return known && zo.workers[index].usable
 }
 
+// onUsable reports whether all workers of a block get new work.
+func (zo *Zone) onUsable(bl Block) bool {
+	return !slices.ContainsFunc(bl.Shares, func(sr Share) bool { return !zo.workers[sr.Worker].usable })
+}
+
 func (bl Block) touches(index int) bool {
 	return slices.ContainsFunc(bl.Shares, func(sr Share) bool { return sr.Worker == index })
 }
@@ -236,7 +271,7 @@
 // else runs, or within a guarantee of its own workspace.
 func (zo *Zone) Possible(ws identifier.Workspace, sh Shape) bool {
 	for _, re := range zo.reservations {
-		if re.Workspace == ws && re.Shape.Covers(sh) {
+		if re.Workspace == ws && re.Shape.Covers(sh) && zo.onUsable(re.Block) {
 			return true
 		}
 	}
--- a/shared/scheduler/round.go
+++ b/shared/scheduler/round.go
@@ -42,7 +42,7 @@
 	ro := &round{Scheduler: sc, now: now, full: map[placer.Shape]bool{}, fullHeld: map[placer.Shape]bool{}}
 	ro.countHolds()
 	for _, jo := range sc.line(now) {
-		ro.consider(jo)
+		ro.zone.Avoiding(jo.Avoid, jo.Workspace, jo.Shape, func() { ro.consider(jo) })
 	}
 	return ro.decisions
 }
--- a/shared/scheduler/scheduler.go
+++ b/shared/scheduler/scheduler.go
@@ -64,6 +64,9 @@
 		// Expected is the corrected run time.
 		Expected    clock.Millis
 		Preemptions int32
+		// Avoid lists workers on which the job has failed. It is placed elsewhere if there
+		// is an elsewhere.
+		Avoid []identifier.Worker
 	}
 
 	// Run is a running gang.
--- a/wagtailcroftd/configurer/configurer.go
+++ b/wagtailcroftd/configurer/configurer.go
@@ -174,16 +174,13 @@
 func (co *Configurer) takeOver(list []storer.Raw, upTo meter.RowVersion) (meter.TableVersion, error) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if upTo < co.scanned {
-		return 0, nil
-	}
 	before := co.head
 	for _, raw := range list {
 		if err := co.apply(raw); err != nil {
 			return 0, err
 		}
 	}
-	co.scanned = upTo
+	co.scanned = max(co.scanned, upTo)
 	if co.head == before {
 		return 0, nil
 	}
--- a/wagtailcroftd/executor/advance.go
+++ b/wagtailcroftd/executor/advance.go
@@ -12,6 +12,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 )
 
+// failuresFactor times MaxFailures is how often a job may fail at all.
+const failuresFactor = 2
+
 // decide plays one scheduling round. Placements are committed by advance.
 func (ex *Executor) decide() {
 	ex.mu.Lock()
@@ -159,29 +162,41 @@
 	if jo.row.State == rows.JobRowStateStopping {
 		return false
 	}
+	if failed := jo.workersIn(platform.TaskStateFailed); len(failed) > 0 {
+		ex.membersFailed(jo, failed)
+		return true
+	}
+	if stopped := jo.workersIn(platform.TaskStateStopped); len(stopped) > 0 {
+		ex.orderStop(jo.row.JobID, stopOrder{next: rows.JobRowNextQueued, reason: fmt.Sprintf("a member was stopped by the platform on worker %s", stopped[0])})
+		return true
+	}
+	return false
+}
+
+// workersIn lists the workers whose member of the current attempt was last in a state.
+func (jo *job) workersIn(state platform.TaskState) []identifier.Worker {
+	var list []identifier.Worker
 	for member, wo := range jo.row.Workers {
-		switch jo.states[identifier.TaskFor(jo.row.JobID, jo.row.Attempt, member)] {
-		case platform.TaskStateFailed:
-			ex.memberFailed(jo, wo)
-			return true
-		case platform.TaskStateStopped:
-			ex.orderStop(jo.row.JobID, stopOrder{next: rows.JobRowNextQueued, reason: fmt.Sprintf("member %d was stopped by the platform", member)})
-			return true
+		if jo.states[identifier.TaskFor(jo.row.JobID, jo.row.Attempt, member)] == state {
+			list = append(list, wo)
 		}
 	}
-	return false
+	return list
 }
 
-// memberFailed weighs whether the worker or the job is to blame.
-func (ex *Executor) memberFailed(jo *job, wo identifier.Worker) {
+// membersFailed weighs whether the workers or the job are to blame.
+func (ex *Executor) membersFailed(jo *job, failed []identifier.Worker) {
 	now := ex.Clock.Now()
-	ex.quarantine.Failed(jo.row.JobID, wo, now)
-	if ex.quarantine.Quarantined(wo, now) {
-		ex.Log.Warn().Str("worker", string(wo)).Msg("workerQuarantined")
+	for _, wo := range failed {
+		ex.quarantine.Failed(jo.row.JobID, wo, now)
+		if ex.quarantine.Quarantined(wo, now) {
+			ex.Log.Warn().Str("worker", string(wo)).Msg("workerQuarantined")
+		}
 	}
-	order := stopOrder{next: rows.JobRowNextQueued, reason: fmt.Sprintf("a member failed on worker %s", wo)}
-	if ex.quarantine.Blamed(jo.row.JobID, now) >= ex.MaxFailures {
-		order = stopOrder{next: rows.JobRowNextFailed, reason: fmt.Sprintf("failed on %d healthy workers, the last being %s", ex.MaxFailures, wo)}
+	order := stopOrder{next: rows.JobRowNextQueued, reason: fmt.Sprintf("a member failed on worker %s", failed[0]), failedOn: failed}
+	if ex.quarantine.Blamed(jo.row.JobID, now) >= ex.MaxFailures || jo.row.Failures+1 >= failuresFactor*ex.MaxFailures {
+		order.next = rows.JobRowNextFailed
+		order.reason = fmt.Sprintf("failed %d times, the last time on worker %s", jo.row.Failures+1, failed[0])
 	}
 	ex.orderStop(jo.row.JobID, order)
 }
--- a/wagtailcroftd/executor/commit.go
+++ b/wagtailcroftd/executor/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -17,6 +18,8 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/storer"
 )
 
+const mostAvoided = 16 // workers that a job remembers to have failed on
+
 // change is a row that is to replace the one of a job.
 type change struct {
 	job *job
@@ -71,9 +74,18 @@
 	if jo.order.preempted {
 		row.Preemptions++
 	}
+	if len(jo.order.failedOn) > 0 {
+		row.Failures++
+		row.FailedOn = lastOf(slices.Concat(row.FailedOn, jo.order.failedOn), mostAvoided)
+	}
 	return change{job: jo, row: row}
 }
 
+// lastOf keeps the newest entries of a list.
+func lastOf(list []identifier.Worker, most int) []identifier.Worker {
+	return list[max(len(list)-most, 0):]
+}
+
 // afterStopping is made once every member is known to be stopped.
 func (ex *Executor) afterStopping(jo *job) change {
 	switch jo.row.Next {
--- a/wagtailcroftd/executor/executor.go
+++ b/wagtailcroftd/executor/executor.go
@@ -123,6 +123,8 @@
 		preempted bool
 		// checkpoint means that the members are healthy and keep what they have done.
 		checkpoint bool
+		// failedOn lists the workers on which members failed.
+		failedOn []identifier.Worker
 	}
 )
 
--- a/wagtailcroftd/executor/observe.go
+++ b/wagtailcroftd/executor/observe.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// remember takes over the evidence that an earlier holder has left in a row.
+func (ex *Executor) remember(row rows.JobRow) {
+	for _, wo := range row.FailedOn {
+		ex.quarantine.Failed(row.JobID, wo, ex.Clock.Now())
+	}
+}
+
 // resume takes over a gang that was placed before.
 func (ex *Executor) resume(row storer.Row[rows.JobRow], re *placer.Reservation) {
 	value := row.Value
@@ -144,6 +151,7 @@
 	case !known && converter.Active(row.Value):
 		ex.resume(row, nil)
 	case !known:
+		ex.remember(row.Value)
 		ex.jobs[id] = newJob(row)
 		ex.line.Wait(ex.lineJob(row.Value))
 	case jo.row.State == row.Value.State && jo.row.Attempt == row.Value.Attempt:
@@ -170,6 +178,7 @@
 		Submitted:   row.SubmittedAt,
 		Expected:    ex.estimates.Expect(kindOf(row), row.ExpectedMillis),
 		Preemptions: row.Preemptions,
+		Avoid:       row.FailedOn,
 	}
 }
 
--- a/wagtailcroftd/heartbeater/heartbeater.go
+++ b/wagtailcroftd/heartbeater/heartbeater.go
@@ -89,6 +89,8 @@
 		contact map[identifier.Instance]clock.Millis
 		// scanned is the store version up to which members is whole, guarded by mu.
 		scanned meter.RowVersion
+		// looked is when members was last read, guarded by mu.
+		looked clock.Millis
 		// behind is signalled when a peer has a newer table.
 		behind chan struct{}
 		// inFlight tells peers how busy this instance is.
@@ -122,8 +124,8 @@
 	if upTo < he.scanned {
 		return nil
 	}
-	he.scanned = upTo
 	now := he.Clock.Now()
+	he.scanned, he.looked = upTo, now
 	for _, row := range list {
 		if row.Removed {
 			delete(he.members, identifier.Instance(row.Name))
@@ -204,11 +206,11 @@
 }
 
 // mayLive reports whether a member's row or the member itself was heard of lately, or the
-// store is silent, in which case the row says nothing.
+// rows have not been read lately, in which case they say nothing.
 func (he *Heartbeater) mayLive(me Member) bool {
 	now := he.Clock.Now()
 	recent := now-me.Seen < he.Silence || he.inContact(me.Instance)
-	return !me.Leaving && (recent || !he.Store.Available())
+	return !me.Leaving && (recent || now-he.looked >= he.Silence)
 }
 
 func (he *Heartbeater) inContact(in identifier.Instance) bool {
--- a/wagtailcroftd/heartbeater/rpc.go
+++ b/wagtailcroftd/heartbeater/rpc.go
@@ -54,11 +54,14 @@
 	return nil
 }
 
+// Service returns what answers other instances.
+func (he *Heartbeater) Service() *Service { return &Service{he: he} }
+
 // Serve answers other instances on the listener until it is closed. Their number bounds
 // that of the connections.
 func (he *Heartbeater) Serve(ln net.Listener) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{he: he}); err != nil {
+	if err := server.RegisterName(serviceName, he.Service()); err != nil {
 		return eris.Wrap(err, "register the peer service")
 	}
 	for {
