--- a/shared/asserter/asserter.go
+++ b/shared/asserter/asserter.go
@@ -1,14 +1,16 @@
 // Package asserter holds the assertions that the tests of all modules share.
 package asserter
 
-import (
-	"testing"
+import "github.com/wagtailcroft/wagtailcroft/shared/problem"
 
-	"github.com/wagtailcroft/wagtailcroft/shared/problem"
-)
+// Test is what assertions need of a test, be it an ordinary one or one of a fuzz run.
+type Test interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
 
 // Kind checks that err is of a kind; an empty kind stands for no error.
-func Kind(t testing.TB, err error, want problem.Kind) {
+func Kind(t Test, err error, want problem.Kind) {
 	t.Helper()
 	if got := problem.KindOf(err); got != want {
 		t.Fatalf("the error is of kind %q, not %q: %v", got, want, err)
@@ -16,7 +18,7 @@
 }
 
 // Outcome checks what an error says about the work.
-func Outcome(t testing.TB, err error, want problem.Outcome) {
+func Outcome(t Test, err error, want problem.Outcome) {
 	t.Helper()
 	if err == nil {
 		t.Fatalf("there is no error")
@@ -27,7 +29,7 @@
 }
 
 // OK checks that there is no error.
-func OK(t testing.TB, err error) {
+func OK(t Test, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatalf("unexpected error: %v", err)
@@ -35,7 +37,7 @@
 }
 
 // Equal checks that two values are the same.
-func Equal[T comparable](t testing.TB, got, want T) {
+func Equal[T comparable](t Test, got, want T) {
 	t.Helper()
 	if got != want {
 		t.Fatalf("got %v, want %v", got, want)
--- a/wagtailcroftd/claimer/claimer.go
+++ b/wagtailcroftd/claimer/claimer.go
@@ -90,6 +90,9 @@
 		return &claim, nil, nil
 	case problem.Conflict:
 		prior, err := cl.Look(ctx, re)
+		if err == nil && prior == nil {
+			err = problem.New(problem.StoreUnavailable, "the claim of key %s was there and is not", re.Key)
+		}
 		return nil, prior, err
 	default:
 		cl.abandon(claim)
--- a/wagtailcroftd/configurer/edit.go
+++ b/wagtailcroftd/configurer/edit.go
@@ -154,8 +154,16 @@
 	}
 	pl.TableVersion++
 	pl.RowVersion = version
+	co.refreshSoon(ctx)
 	co.log.Info().Str("workspace", string(ed.Workspace)).Str("author", ed.Author).Int64("tableVersion", int64(pl.TableVersion)).Msg("rowAccepted")
-	return pl, co.Refresh(ctx)
+	return pl, nil
+}
+
+// refreshSoon brings an accepted change into force here. If it cannot, the next step does.
+func (co *Configurer) refreshSoon(ctx context.Context) {
+	if err := co.Refresh(ctx); err != nil {
+		co.log.Debug().Err(err).Msg("refreshPutOff")
+	}
 }
 
 // lostRace tells what came first: a change of the row, of another row, or of the zone.
@@ -194,7 +202,8 @@
 		return err
 	}
 	co.log.Info().Str("target", string(target)).Bool("undo", undo).Msg("drainAccepted")
-	return co.Refresh(ctx)
+	co.refreshSoon(ctx)
+	return nil
 }
 
 func onOff(on bool) string {
--- a/wagtailcroftd/daemon/requests_test.go
+++ b/wagtailcroftd/daemon/requests_test.go
@@ -47,7 +47,7 @@
 		asserter.Kind(t, err, problem.KeyReused)
 		sc.ran("again", 1)
 	})
-	t.Run("an answer of the store that was lost after the claim took effect", func(t *testing.T) {
+	t.Run("an answer of the store that was lost after the claim took effect", func(*testing.T) {
 		sc.platform.Change(loseAnswers(1))
 		re := sc.request("lost")
 		answer, err := sc.send(0, re)
@@ -63,7 +63,7 @@
 		asserter.Outcome(t, err, problem.Unknown)
 		sc.ran("unknown", 1)
 	})
-	t.Run("an idempotent one is", func(t *testing.T) {
+	t.Run("an idempotent one is", func(*testing.T) {
 		sc.runners.lose = 1
 		re := sc.request("idempotent")
 		re.Idempotent = true
--- a/wagtailcroftd/daemon/scene_test.go
+++ b/wagtailcroftd/daemon/scene_test.go
@@ -42,7 +42,7 @@
 
 // scene holds entry instances, the stand-in and a clock that the test moves.
 type scene struct {
-	t        testing.TB
+	t        asserter.Test
 	clock    *clock.Fake
 	platform *platform.Platform
 	handler  http.Handler
@@ -55,7 +55,7 @@
 }
 
 // newScene starts a number of instances in one zone of two racks with two workers each.
-func newScene(t testing.TB, instances int) *scene {
+func newScene(t asserter.Test, instances int) *scene {
 	sc := &scene{t: t, clock: clock.NewFake(1_000_000), runners: newFakeRunners(), paused: map[int]bool{}}
 	layout := platform.Layout{Zones: []platform.ZoneLayout{{Zone: kochi, Racks: 2, WorkersPerRack: 2, Accelerators: 8, Runners: []string{"runner-0", "runner-1"}}}}
 	sc.platform = platform.New(sc.clock, layout)
--- a/wagtailcroftd/daemon/table_test.go
+++ b/wagtailcroftd/daemon/table_test.go
@@ -47,7 +47,7 @@
 		sc.run(1)
 		asserter.Equal(t, sc.daemons[1].Table.Confirmed(), true)
 	})
-	t.Run("also on an instance that starts later", func(t *testing.T) {
+	t.Run("also on an instance that starts later", func(*testing.T) {
 		sc.add()
 		sc.run(1)
 		sc.inForce(3, 3)
--- a/wagtailcroftd/storer/rows.go
+++ b/wagtailcroftd/storer/rows.go
@@ -114,13 +114,14 @@
 		if problem.KindOf(err) == problem.Conflict && lost == nil {
 			return 0, err
 		}
-		if version, took, readErr := st.tookEffect(ctx, ba.writes[0].key, id); readErr == nil && took {
+		version, took, readErr := st.tookEffect(ctx, ba.writes[0].key, id)
+		if readErr == nil && took {
 			return version, nil
 		}
-		if problem.KindOf(err) == problem.Conflict {
+		if problem.KindOf(err) == problem.Conflict && readErr == nil {
 			return 0, err
 		}
-		lost = err
+		lost = problem.New(problem.StoreUnavailable, "%v", err)
 		if st.paused() > 0 {
 			break
 		}
@@ -138,6 +139,9 @@
 	if an.JSON200 == nil {
 		return 0, problem.New(problem.StoreUnavailable, "the store answered %d", an.StatusCode())
 	}
+	if err := st.fresh(an.JSON200.Version, 0); err != nil {
+		return 0, err
+	}
 	if !an.JSON200.Applied {
 		return 0, problem.New(problem.Conflict, "a row of the transaction has changed")
 	}
@@ -166,6 +170,7 @@
 	for _, key := range keys {
 		query.Keys = append(query.Keys, platform.RowKey{Table: key.Table, Key: key.Name})
 	}
+	atSend := st.newest()
 	an, err := call(ctx, st, "store.read", func(ctx context.Context) (*platform.ReadRowsResponse, error) {
 		return st.client.ReadRowsWithResponse(ctx, query)
 	})
@@ -175,7 +180,7 @@
 	if an.JSON200 == nil || len(an.JSON200.Rows) != len(keys) {
 		return nil, problem.New(problem.StoreUnavailable, "the store gave no whole answer")
 	}
-	return an.JSON200, nil
+	return an.JSON200, st.fresh(an.JSON200.Version, atSend)
 }
 
 // Read returns one row.
@@ -220,6 +225,7 @@
 }
 
 func (st *Store) scan(ctx context.Context, table, prefix string, since meter.RowVersion) (*platform.RowSet, error) {
+	atSend := st.newest()
 	an, err := call(ctx, st, "store.scan", func(ctx context.Context) (*platform.ScanRowsResponse, error) {
 		return st.client.ScanRowsWithResponse(ctx, platform.ScanQuery{Table: table, Prefix: prefix, Since: since})
 	})
@@ -229,7 +235,7 @@
 	if an.JSON200 == nil {
 		return nil, problem.New(problem.StoreUnavailable, "the store gave no whole answer")
 	}
-	return an.JSON200, nil
+	return an.JSON200, st.fresh(an.JSON200.Version, atSend)
 }
 
 // Decode gives a raw row its type.
--- a/wagtailcroftd/storer/storer.go
+++ b/wagtailcroftd/storer/storer.go
@@ -13,6 +13,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/locker"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/retrier"
 	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
@@ -53,6 +54,8 @@
 		failures int
 		// pausedUntil is when the next call is let through, guarded by mu.
 		pausedUntil clock.Millis
+		// seen is the newest store version in any answer, guarded by mu; it only rises.
+		seen meter.RowVersion
 	}
 
 	// answer is what the generated responses have in common.
@@ -128,6 +131,26 @@
 	st.failures, st.pausedUntil = 0, 0
 }
 
+// newest is the newest store version in any answer so far.
+func (st *Store) newest() meter.RowVersion {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.seen
+}
+
+// fresh takes note of the store version of an answer. One that is older than what was the
+// newest when the call was sent is stale and proves nothing: the error is of the kind
+// StoreUnavailable.
+func (st *Store) fresh(version, atSend meter.RowVersion) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if version < atSend {
+		return problem.New(problem.StoreUnavailable, "the store answered as of version %d after version %d", version, atSend).Retry(firstPause)
+	}
+	st.seen = max(st.seen, version)
+	return nil
+}
+
 // Available reports whether the last call was answered.
 func (st *Store) Available() bool {
 	st.mu.Lock()
