--- /dev/null
+++ b/demo/launcher/launcher_test.go
@@ -0,0 +1,147 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/runner"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/standin/platform"
+)
+
+const longest = 30 * clock.Second
+
+// launch starts instances in one zone with one runner, and a row for the workspace studio.
+func launch(t *testing.T, instances int) *Cluster {
+	t.Helper()
+	cl, err := Launch(Options{Deployment: platform.Thengola(), Zones: 1, PerZone: instances, Runners: 1, Log: io.Discard, Seed: 1})
+	asserter.OK(t, err)
+	t.Cleanup(cl.Close)
+	client, err := cl.Operator(0)
+	asserter.OK(t, err)
+	an, err := client.SetRowWithResponse(t.Context(), "studio", &operator.SetRowParams{}, operator.RowEdit{Cells: types.Cells{
+		Weight:       1,
+		Guarantees:   []types.Guarantee{},
+		Limits:       types.Limits{Accelerators: 64, Requests: 64, UnconfirmedRequests: 8, QueuedJobs: 8},
+		TokenDigests: []string{identifier.Digest("token")},
+	}})
+	asserter.OK(t, err)
+	asserter.Equal(t, an.StatusCode(), 200)
+	until(t, func() bool {
+		for _, da := range cl.Daemons {
+			if da.Leases.Seats() == 0 || da.Table.Version() == 0 || da.Routes.Usable(0) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return cl
+}
+
+// until waits for something that must come; only a test that hangs reaches the bound.
+func until(t *testing.T, done func() bool) {
+	t.Helper()
+	cl := clock.New()
+	for deadline := cl.Now() + longest; !done(); {
+		if cl.Now() > deadline {
+			t.Fatalf("it did not come")
+		}
+		clock.Sleep(context.Background(), cl, 10)
+	}
+}
+
+func send(t *testing.T, cl *Cluster, number int, key string, idempotent bool) *caller.SendRequestResponse {
+	t.Helper()
+	return sendFor(t, cl, number, key, idempotent, longest)
+}
+
+func sendFor(t *testing.T, cl *Cluster, number int, key string, idempotent bool, timeout clock.Millis) *caller.SendRequestResponse {
+	t.Helper()
+	client, err := cl.Caller(number, "token")
+	asserter.OK(t, err)
+	an, err := client.SendRequestWithResponse(t.Context(), caller.RequestBody{
+		Key:           identifier.Key(key),
+		Kind:          caller.RequestBodyKindSignUp,
+		Class:         types.ClassNormal,
+		Idempotent:    idempotent,
+		TimeoutMillis: timeout,
+		Payload:       key,
+	})
+	asserter.OK(t, err)
+	return an
+}
+
+// whole checks that an answer is whole and belongs to its request.
+func whole(t *testing.T, an *caller.SendRequestResponse, key string) {
+	t.Helper()
+	if an.JSON200 == nil || an.JSON200.Payload != "answer to "+key {
+		t.Fatalf("key %s got %s", key, an.Body)
+	}
+}
+
+func TestWrongAnswers(t *testing.T) {
+	cl := launch(t, 1)
+	target := cl.Runners["kochi"][0]
+	whole(t, send(t, cl, 0, "first", false), "first")
+	for name, faults := range map[string]runner.Faults{
+		"truncated": {Truncated: 1},
+		"dropped":   {Dropped: 1},
+		"swapped":   {Swapped: 1},
+	} {
+		t.Run(name+" is told as unknown, and never run again", func(t *testing.T) {
+			target.Break(faults)
+			for range 2 {
+				an := sendFor(t, cl, 0, name, false, 3*clock.Second)
+				asserter.Equal(t, an.ApplicationProblemJSONDefault != nil, true)
+				asserter.Equal(t, an.ApplicationProblemJSONDefault.Outcome, types.OutcomeUnknown)
+			}
+			asserter.Equal(t, target.Runs("studio", identifier.Key(name)), 1)
+			whole(t, send(t, cl, 0, "after "+name, false), "after "+name)
+		})
+	}
+	t.Run("doubled reaches no other request", func(t *testing.T) {
+		target.Break(runner.Faults{Doubled: 8})
+		for i := range 16 {
+			key := fmt.Sprintf("doubled-%d", i)
+			whole(t, send(t, cl, 0, key, true), key)
+		}
+	})
+	t.Run("work that failed is told as failed", func(t *testing.T) {
+		target.Break(runner.Faults{Failing: true})
+		an := send(t, cl, 0, "failing", false)
+		asserter.Equal(t, an.ApplicationProblemJSONDefault.Outcome, types.OutcomeFailed)
+	})
+}
+
+func TestGracefulStop(t *testing.T) {
+	cl := launch(t, 2)
+	cl.Runners["kochi"][0].Break(runner.Faults{DelayMillis: 300})
+	var wait sync.WaitGroup
+	answers := make([]*caller.SendRequestResponse, 4)
+	for i := range answers {
+		wait.Go(func() { answers[i] = send(t, cl, 0, fmt.Sprintf("in flight %d", i), false) })
+	}
+	until(t, func() bool { return cl.Daemons[0].InFlight() == int32(len(answers)) })
+	asserter.OK(t, cl.Daemons[0].Stop(context.Background()))
+	wait.Wait()
+	t.Run("every request in flight is answered", func(t *testing.T) {
+		for i, an := range answers {
+			whole(t, an, fmt.Sprintf("in flight %d", i))
+		}
+	})
+	t.Run("the other instance takes over the seats and the zone", func(t *testing.T) {
+		until(t, func() bool {
+			_, schedules := cl.Daemons[1].Leases.Scheduler()
+			return schedules && cl.Daemons[1].Leases.Seats() == 2
+		})
+		whole(t, send(t, cl, 1, "afterwards", false), "afterwards")
+	})
+}
--- a/shared/loader/loader.go
+++ b/shared/loader/loader.go
@@ -9,14 +9,16 @@
 
 	"github.com/agnivade/levenshtein"
 	"github.com/creasty/defaults"
-	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailcroft/wagtailcroft/shared/checker"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 )
 
+var rules = checker.New(problem.BadSettings, "toml")
+
 // Load reads the settings of a daemon from a TOML file. All errors are of the kind
 // BadSettings.
 func Load(path string) (settings.Daemon, error) {
@@ -38,23 +40,7 @@
 	if err := decoder.Decode(&set); err != nil {
 		return set, decodeProblem(err)
 	}
-	if err := check(set); err != nil {
-		return set, err
-	}
-	return set, nil
-}
-
-func check(set settings.Daemon) error {
-	va := validator.New(validator.WithRequiredStructEnabled())
-	va.RegisterTagNameFunc(func(fd reflect.StructField) string { return fd.Tag.Get("toml") })
-	err := va.Struct(set)
-	var fields validator.ValidationErrors
-	if eris.As(err, &fields) {
-		fd := fields[0]
-		key := strings.TrimPrefix(fd.Namespace(), "Daemon.")
-		return problem.New(problem.BadSettings, "%s is %v; it must satisfy %s=%s", key, fd.Value(), fd.Tag(), fd.Param())
-	}
-	return err
+	return set, rules.Check(set)
 }
 
 // decodeProblem names the place of a mistake and, for an unknown key, the nearest known.
--- a/wagtailcroftd/callerserver/callerserver.go
+++ b/wagtailcroftd/callerserver/callerserver.go
@@ -6,11 +6,10 @@
 	"context"
 	"net/http"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/gorilla/mux"
-	"github.com/rotisserie/eris"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/admitter"
+	"github.com/wagtailcroft/wagtailcroft/shared/checker"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
@@ -66,7 +65,7 @@
 	workspaceKey struct{}
 )
 
-var checker = validator.New(validator.WithRequiredStructEnabled())
+var rules = checker.New(problem.BadBody, "json")
 
 // New returns the handler of the caller API.
 func New(op Options) http.Handler {
@@ -100,19 +99,9 @@
 	return ws
 }
 
-func check(body any) error {
-	err := checker.Struct(body)
-	var fields validator.ValidationErrors
-	if eris.As(err, &fields) {
-		fd := fields[0]
-		return problem.New(problem.BadBody, "%s must satisfy %s=%s", fd.Namespace(), fd.Tag(), fd.Param())
-	}
-	return err
-}
-
 // SendRequest serves a request for a runner.
 func (se *Server) SendRequest(ctx context.Context, req caller.SendRequestRequestObject) (caller.SendRequestResponseObject, error) {
-	if err := check(req.Body); err != nil {
+	if err := rules.Check(req.Body); err != nil {
 		return nil, err
 	}
 	re := se.request(workspaceOf(ctx), *req.Body)
@@ -155,7 +144,7 @@
 
 // SubmitJob stores a gang job.
 func (se *Server) SubmitJob(ctx context.Context, req caller.SubmitJobRequestObject) (caller.SubmitJobResponseObject, error) {
-	if err := check(req.Body); err != nil {
+	if err := rules.Check(req.Body); err != nil {
 		return nil, err
 	}
 	row, err := se.Jobs.Submit(ctx, workspaceOf(ctx), *req.Body)
--- a/wagtailcroftd/configurer/edit.go
+++ b/wagtailcroftd/configurer/edit.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/rotisserie/eris"
-
+	"github.com/wagtailcroft/wagtailcroft/shared/checker"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -42,7 +40,7 @@
 	}
 )
 
-var checker = validator.New(validator.WithRequiredStructEnabled())
+var rules = checker.New(problem.BadRow, "json")
 
 // Plan checks an edit against the newest table and says what it would do. Errors are of
 // the kinds BadRow, StaleRow, GuaranteeTooLarge and StoreUnavailable.
@@ -68,13 +66,7 @@
 	if ed.Workspace == "" || len(ed.Workspace) > 63 {
 		return problem.New(problem.BadRow, "the workspace's name must have 1 to 63 characters")
 	}
-	err := checker.Struct(ed.Cells)
-	var fields validator.ValidationErrors
-	if eris.As(err, &fields) {
-		fd := fields[0]
-		return problem.New(problem.BadRow, "cell %s is %v; it must satisfy %s=%s", fd.Namespace(), fd.Value(), fd.Tag(), fd.Param())
-	}
-	return err
+	return rules.Check(ed.Cells)
 }
 
 func rowOf(sn Snapshot, ws identifier.Workspace) (Row, bool) {
