Play faults against eight real processes

Cause: all proofs so far ran within one process. Change: make faults starts eight daemons in four zones and the stand-in, plays bounded load, and kills one, pauses one beyond its lease, drains a runner, stops one gracefully, takes the store down, slows it and loses its answers, cuts a zone and changes a row; then it compares what callers were told with what runners and workers ran. Control bytes are counted on the wire.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 OAPI_VERSION := v2.8.2
 LINT_VERSION := v2.15.0
 
-.PHONY: help build demo test lint generate check-generated bench fuzz lines
+.PHONY: help build demo test lint generate check-generated bench fuzz faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -23,6 +23,9 @@
 bench: build ## measure the decisions and write docs/MEASUREMENTS.md
 	$(BIN)/bench run --commit $$(git rev-parse --short HEAD)
 
+faults: build ## eight real processes under load and faults, two minutes
+	BIN=$(BIN) scripts/faults.sh
+
 fuzz: ## run the fuzz tests longer, with a fresh seed that is printed
 	@seed=$$(date +%s); echo "WAGTAILCROFT_SEED=$$seed"; \
 	for m in $(MODULES); do (cd $$m && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=5000 go test -tags rankcheck -run 'Always|Faults' ./...) || exit 1; done
--- /dev/null
+++ b/demo/faulter/load.go
@@ -0,0 +1,127 @@
+package faulter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+// load sends requests that may be run at most once, first to its own instance, and again
+// to the next while their outcome is not known.
+func (fa *Faulter) load(ctx context.Context, number, sender int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		key := identifier.Key(fmt.Sprintf("key-%d-%d-%d", number, sender, i))
+		outcome := nothing
+		for try := range tries {
+			outcome = fa.call(context.WithoutCancel(ctx), (number+try)%len(fa.options.Instances), key, try == 0)
+			if outcome != nothing && outcome != unknown {
+				break
+			}
+		}
+		fa.mu.Lock()
+		fa.keys[key] = outcome
+		fa.mu.Unlock()
+		fa.pause(ctx, pace)
+	}
+}
+
+// call makes one call with a key.
+func (fa *Faulter) call(ctx context.Context, number int, key identifier.Key, first bool) told {
+	client, err := fa.caller(number)
+	if err != nil {
+		return nothing
+	}
+	ctx, cancel := context.WithTimeout(ctx, (2 * requestTimeout).Duration())
+	defer cancel()
+	an, err := client.SendRequestWithResponse(ctx, caller.RequestBody{
+		Key:           key,
+		Kind:          caller.RequestBodyKindSignUp,
+		Class:         types.ClassNormal,
+		FirstAttempt:  first,
+		TimeoutMillis: requestTimeout,
+		Payload:       string(key),
+	})
+	if err != nil {
+		fa.noteCutOff(number, err)
+		return nothing
+	}
+	if an.JSON200 != nil {
+		if an.JSON200.Payload != "answer to "+string(key) {
+			return nothing
+		}
+		return done
+	}
+	if an.ApplicationProblemJSONDefault == nil {
+		return nothing
+	}
+	switch an.ApplicationProblemJSONDefault.Outcome {
+	case types.OutcomeNotRun:
+		return notRun
+	case types.OutcomeFailed:
+		return failed
+	case types.OutcomeUnknown:
+		return unknown
+	default:
+		return nothing
+	}
+}
+
+// noteCutOff counts a call that was accepted and then cut by the graceful stop. A refused
+// connection was never accepted.
+func (fa *Faulter) noteCutOff(number int, err error) {
+	var op *net.OpError
+	if eris.As(err, &op) && op.Op == "dial" {
+		return
+	}
+	fa.mu.Lock()
+	defer fa.mu.Unlock()
+	if fa.stopping == fa.options.Instances[number].Name {
+		fa.cutOff++
+	}
+}
+
+// submitJobs submits a gang every second, to any instance that takes it.
+func (fa *Faulter) submitJobs(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		body := caller.JobBody{
+			Key:            identifier.Key(fmt.Sprintf("gang-%d", i)),
+			Kind:           caller.JobBodyKindPracticeSet,
+			Class:          types.ClassNormal,
+			Zone:           fa.options.Instances[i%len(fa.options.Instances)].Zone,
+			Shape:          types.Shape{Members: 4, Accelerators: 8, Adjacency: types.AdjacencyRack},
+			ExpectedMillis: 2 * clock.Second,
+			Payload:        `{"runMillis":1500}`,
+		}
+		for try := range len(fa.options.Instances) {
+			if id, ok := fa.submit(ctx, (i+try)%len(fa.options.Instances), body); ok {
+				fa.mu.Lock()
+				fa.jobs = append(fa.jobs, id)
+				fa.mu.Unlock()
+				break
+			}
+		}
+		fa.pause(ctx, time.Second)
+	}
+}
+
+func (fa *Faulter) submit(ctx context.Context, number int, body caller.JobBody) (identifier.Job, bool) {
+	client, err := fa.caller(number)
+	if err != nil {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
+	defer cancel()
+	an, err := client.SubmitJobWithResponse(ctx, body)
+	if err != nil || an.JSON202 == nil {
+		return "", false
+	}
+	return an.JSON202.JobID, true
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -29,8 +29,13 @@
 	app.HelpFlag.Short('h')
 	port := app.Flag("port", "Port of the platform; the runners take the ports after it.").Default("7900").Int()
 	name := app.Flag("deployment", "Whose sizes to use: thengola or derwent.").Default("thengola").Enum("thengola", "derwent")
+	racks := app.Flag("racks", "Racks in each zone; 0 means the deployment's.").Default("0").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := serve(*port, deployment(*name)); err != nil {
+	de := deployment(*name)
+	if *racks > 0 {
+		de.RacksPerZone = *racks
+	}
+	if err := serve(*port, de); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
--- a/wagtailcroftd/daemon/daemon.go
+++ b/wagtailcroftd/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/claimer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/counter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dispatcher"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/executor"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/heartbeater"
@@ -71,8 +72,10 @@
 		log     zerolog.Logger
 		tracer  *tracer.Tracer
 		store   *storer.Store
-		pool    *pool.Pool
-		admit   *admitter.Admitter
+		// wire counts the bytes of control: those to the platform and between instances.
+		wire  *counter.Counter
+		pool  *pool.Pool
+		admit *admitter.Admitter
 		// stopping is set once, when the daemon begins to stop.
 		stopping atomic.Bool
 		servers  []*http.Server
@@ -94,7 +97,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "set up tracing")
 	}
-	da := &Daemon{Settings: set, outside: out, log: log, tracer: tr}
+	da := &Daemon{Settings: set, outside: out, log: log, tracer: tr, wire: counter.New()}
 	da.useNetwork()
 	if err := da.assemble(); err != nil {
 		return nil, err
@@ -105,12 +108,12 @@
 // useNetwork fills in what the tests have not replaced.
 func (da *Daemon) useNetwork() {
 	if da.outside.Platform == nil {
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections}}
+		client := &http.Client{Transport: &http.Transport{DialContext: da.wire.DialContext, MaxIdleConnsPerHost: platformConnections}}
 		da.outside.Platform = client
 		da.closer = append(da.closer, client.CloseIdleConnections)
 	}
 	if da.outside.Peers == nil {
-		dialer := heartbeater.NewDialer(da.outside.Clock, peerTimeout)
+		dialer := heartbeater.NewDialer(da.outside.Clock, peerTimeout, da.wire.DialContext)
 		da.outside.Peers = dialer
 		da.closer = append(da.closer, dialer.Close)
 	}
--- a/wagtailcroftd/daemon/gangs_test.go
+++ b/wagtailcroftd/daemon/gangs_test.go
@@ -34,7 +34,7 @@
 func TestGang(t *testing.T) {
 	sc := newScene(t, 2)
 	sc.setRow("studio")
-	t.Run("runs whole and leaves a whole result", func(t *testing.T) {
+	t.Run("runs whole and leaves a whole result", func(*testing.T) {
 		id := sc.mustSubmit("gang", shortWork)
 		sc.pass(4 * clock.Second)
 		sc.inState(id, rows.JobRowStateDone)
@@ -99,7 +99,7 @@
 		asserter.Equal(t, sc.job(id).Outcome, types.OutcomeFailed)
 		sc.wholeGangs()
 	})
-	t.Run("a wave frees its blocks at once", func(t *testing.T) {
+	t.Run("a wave frees its blocks at once", func(*testing.T) {
 		var ids []identifier.Job
 		for i := range 8 {
 			ids = append(ids, sc.mustSubmit(identifier.Key(fmt.Sprintf("wave-%d", i)), longWork))
@@ -177,7 +177,7 @@
 		_, err := sc.daemons[old].Gangs.Store.Command(context.Background(), batch)
 		asserter.Kind(t, err, problem.Fenced)
 	})
-	t.Run("the fresh holder goes on", func(t *testing.T) {
+	t.Run("the fresh holder goes on", func(*testing.T) {
 		sc.pass(soon)
 		sc.inState(running, rows.JobRowStateCancelled)
 		sc.inState(queued, rows.JobRowStateRunning)
--- a/wagtailcroftd/daemon/parts.go
+++ b/wagtailcroftd/daemon/parts.go
@@ -53,6 +53,7 @@
 	ma.Set("scheduler", expvar.Func(func() any { _, held := da.Leases.Scheduler(); return held }))
 	ma.Set("jobs", expvar.Func(func() any { return da.Gangs.Counts() }))
 	ma.Set("storeAvailable", expvar.Func(func() any { return da.store.Available() }))
+	ma.Set("controlBytes", expvar.Func(func() any { return da.wire.Bytes() }))
 	ma.Set("memstats", expvar.Get("memstats"))
 	return ma
 }
--- a/wagtailcroftd/daemon/run.go
+++ b/wagtailcroftd/daemon/run.go
@@ -43,7 +43,7 @@
 		return eris.Wrap(err, "listen for peers")
 	}
 	da.peerLn = peerLn
-	da.loops.Go(func() { _ = da.Peers.Serve(peerLn) })
+	da.loops.Go(func() { _ = da.Peers.Serve(da.wire.Listener(peerLn)) })
 	if err := da.serve(da.Settings.CallerAddress, da.CallerHandler()); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
--- a/wagtailcroftd/heartbeater/rpc.go
+++ b/wagtailcroftd/heartbeater/rpc.go
@@ -24,10 +24,14 @@
 	// Service answers the calls of other instances.
 	Service struct{ he *Heartbeater }
 
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// RPCDialer calls over net/rpc and keeps one connection to each address.
 	RPCDialer struct {
 		clock   clock.Clock
 		timeout clock.Millis
+		dial    Dial
 
 		mu locker.Mutex
 		// clients is guarded by mu.
@@ -74,8 +78,9 @@
 }
 
 // NewDialer returns a dialer whose calls end after the timeout.
-func NewDialer(cl clock.Clock, timeout clock.Millis) *RPCDialer {
+func NewDialer(cl clock.Clock, timeout clock.Millis, dial Dial) *RPCDialer {
 	return &RPCDialer{
+		dial:    dial,
 		clock:   cl,
 		timeout: timeout,
 		mu:      locker.New(locker.RankStore),
@@ -112,8 +117,7 @@
 	if client != nil {
 		return client, nil
 	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := di.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
