--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,12 @@
 faults: build ## eight real processes under load and faults, two minutes
 	BIN=$(BIN) scripts/faults.sh
 
+slopes: build ## control cost of one real process at several sizes, under five minutes
+	BIN=$(BIN) scripts/slopes.sh
+
+lines: ## shares of product, tests, and of what keeps the system going
+	@scripts/lines.sh
+
 fuzz: ## run the fuzz tests longer, with a fresh seed that is printed
 	@seed=$$(date +%s); echo "WAGTAILCROFT_SEED=$$seed"; \
 	for m in $(MODULES); do (cd $$m && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=5000 go test -tags rankcheck -run 'Always|Faults' ./...) || exit 1; done
@@ -36,9 +42,10 @@
 
 generate: $(BIN)/oapi-codegen ## generate Go from schema/
 	@for s in $(SCHEMAS); do mkdir -p shared/gen/$$s && (cd schema && $(BIN)/oapi-codegen --config $$s.gen.yaml $$s.yaml) || exit 1; done
+	go run ./demo docs
 
 check-generated: generate ## fail when the committed output is stale
-	git diff --exit-code -- shared/gen
+	git diff --exit-code -- shared/gen docs/operators
 
 $(BIN)/golangci-lint:
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- /dev/null
+++ b/demo/cmd_cost.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/demo/weigher"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+const (
+	costWorkspace = "cost"
+	costToken     = "token-of-the-cost"
+	costLongRun   = clock.Hour
+)
+
+// costFlags are the flags of cost.
+type costFlags struct {
+	pid      int
+	caller   string
+	operator string
+	token    string
+	workers  int
+	jobs     int
+	settle   time.Duration
+	length   time.Duration
+}
+
+var cmdCost = command{
+	name: "cost",
+	help: "Measure what control costs a running instance, with a number of long gang jobs.",
+	bind: func(cl *kingpin.CmdClause) func() error {
+		fl := &costFlags{}
+		cl.Flag("pid", "Process to measure.").Required().IntVar(&fl.pid)
+		cl.Flag("caller", "Its caller address.").Required().StringVar(&fl.caller)
+		cl.Flag("operator", "Its operator address.").Required().StringVar(&fl.operator)
+		cl.Flag("token", "Operators' token.").Required().StringVar(&fl.token)
+		cl.Flag("workers", "Workers of its zone, for the report.").Required().IntVar(&fl.workers)
+		cl.Flag("jobs", "Gang jobs to run.").Default("0").IntVar(&fl.jobs)
+		cl.Flag("settle", "Wait before measuring.").Default("8s").DurationVar(&fl.settle)
+		cl.Flag("length", "How long to measure.").Default("15s").DurationVar(&fl.length)
+		return func() error { return cost(fl) }
+	},
+}
+
+func cost(fl *costFlags) error {
+	ctx := context.Background()
+	if fl.jobs > 0 {
+		if err := submitLong(ctx, fl); err != nil {
+			return err
+		}
+	}
+	clock.Sleep(ctx, clock.New(), clock.FromDuration(fl.settle))
+	sample, err := weigher.Weigh(ctx, fl.pid, fl.operator, clock.FromDuration(fl.length))
+	if err != nil {
+		return err
+	}
+	sample.Workers, sample.Jobs = fl.workers, fl.jobs
+	fmt.Println(sample.Print())
+	return nil
+}
+
+// submitLong gives the workspace of the measurement a row and submits its jobs.
+func submitLong(ctx context.Context, fl *costFlags) error {
+	op, err := operator.NewClientWithResponses("http://"+fl.operator, operator.WithRequestEditorFn(withToken(fl.token)))
+	if err != nil {
+		return err
+	}
+	row, err := op.SetRowWithResponse(ctx, costWorkspace, &operator.SetRowParams{}, operator.RowEdit{Cells: types.Cells{
+		Weight:       1,
+		Guarantees:   []types.Guarantee{},
+		Limits:       types.Limits{Accelerators: 1 << 19, QueuedJobs: 1 << 16},
+		TokenDigests: []string{identifier.Digest(costToken)},
+	}})
+	if err != nil || row.JSON200 == nil {
+		return eris.Errorf("set the row: %v", err)
+	}
+	client, err := caller.NewClientWithResponses("http://"+fl.caller, caller.WithRequestEditorFn(withToken(costToken)))
+	if err != nil {
+		return err
+	}
+	for i := range fl.jobs {
+		an, err := client.SubmitJobWithResponse(ctx, longJob(i))
+		if err != nil || an.JSON202 == nil {
+			return eris.Errorf("submit a job: %v", err)
+		}
+	}
+	return nil
+}
+
+func longJob(number int) caller.JobBody {
+	return caller.JobBody{
+		Key:            identifier.Key(fmt.Sprintf("long-%d", number)),
+		Kind:           caller.JobBodyKindReRender,
+		Class:          types.ClassNormal,
+		Shape:          types.Shape{Members: 4, Accelerators: 1, Adjacency: types.AdjacencyRack},
+		ExpectedMillis: costLongRun,
+		Payload:        fmt.Sprintf(`{"runMillis":%d}`, costLongRun),
+	}
+}
+
+func withToken(token string) func(context.Context, *http.Request) error {
+	return func(_ context.Context, req *http.Request) error {
+		req.Header.Set("Authorization", "Bearer "+token)
+		return nil
+	}
+}
--- a/demo/main.go
+++ b/demo/main.go
@@ -24,7 +24,7 @@
 	bind func(cl *kingpin.CmdClause) func() error
 }
 
-var commands = []command{cmdRun, cmdFaults}
+var commands = []command{cmdRun, cmdFaults, cmdDocs, cmdCost, cmdSlopes}
 
 func run(args []string) error {
 	app := kingpin.New("demo", "Plays the work of both deployments on loopback and checks every answer.")
