Join what stood twice

Cause: three programs held the same lines to run subcommands, two the same to rewrite a page; the placer filled workers in order in four places; three packages compared strings by hand. Change: commander and pager in shared; takeInOrder in the placer; the library's cmp.

--- a/bench/cmd_run.go
+++ b/bench/cmd_run.go
@@ -2,27 +2,24 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rotisserie/eris"
 
 	"github.com/wagtailcroft/wagtailcroft/bench/feeder"
 	"github.com/wagtailcroft/wagtailcroft/bench/generator"
 	"github.com/wagtailcroft/wagtailcroft/bench/policer"
 	"github.com/wagtailcroft/wagtailcroft/bench/reporter"
 	"github.com/wagtailcroft/wagtailcroft/bench/timer"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/scheduler"
 )
 
 const (
 	measurements = "MEASUREMENTS.md"
 	curves       = "tradeoff.svg"
-	filePerm     = 0o644
 )
 
 type (
@@ -40,10 +37,10 @@
 	}
 )
 
-var cmdRun = command{
-	name: "run",
-	help: "Run every load with every policy and write the table and the curves.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdRun = commander.Command{
+	Name: "run",
+	Help: "Run every load with every policy and write the table and the curves.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		fl := &runFlags{}
 		cl.Flag("seed", "Seed of the loads.").Default("1").Uint64Var(&fl.seed)
 		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
@@ -70,7 +67,7 @@
 	costs := timer.Measure()
 	text := reporter.Tables(rows, costs, fl.commit, fl.seed)
 	fmt.Print(text)
-	if err := replaceTables(filepath.Join(fl.docs, measurements), text); err != nil {
+	if err := reporter.Part.Replace(filepath.Join(fl.docs, measurements), text); err != nil {
 		return err
 	}
 	return reporter.Plot(rows, filepath.Join(fl.docs, curves))
@@ -95,18 +92,3 @@
 	wait.Wait()
 	return rows
 }
-
-// replaceTables writes the generated part of the page and keeps the rest.
-func replaceTables(path, text string) error {
-	page, err := os.ReadFile(path)
-	if err != nil {
-		return eris.Wrap(err, "read the page of measurements")
-	}
-	before, rest, found := strings.Cut(string(page), reporter.Begin)
-	_, after, closed := strings.Cut(rest, reporter.End)
-	if !found || !closed {
-		return eris.Errorf("%s has no place for the tables, between %q and %q", path, reporter.Begin, reporter.End)
-	}
-	page = []byte(before + reporter.Begin + "\n" + text + reporter.End + after)
-	return eris.Wrap(os.WriteFile(path, page, filePerm), "write the page of measurements")
-}
--- a/bench/main.go
+++ b/bench/main.go
@@ -5,35 +5,16 @@
 	"fmt"
 	"os"
 
-	"github.com/alecthomas/kingpin/v2"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 )
 
+const help = "Measures the decisions of the product beside simple policies."
+
+var commands = []commander.Command{cmdRun}
+
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	if err := commander.Run("bench", help, commands, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
 }
-
-// command names, describes and runs one subcommand.
-type command struct {
-	name string
-	help string
-	// bind adds the flags and returns what runs the subcommand.
-	bind func(cl *kingpin.CmdClause) func() error
-}
-
-var commands = []command{cmdRun}
-
-func run(args []string) error {
-	app := kingpin.New("bench", "Measures the decisions of the product beside simple policies.")
-	actions := map[string]func() error{}
-	for _, co := range commands {
-		actions[co.name] = co.bind(app.Command(co.name, co.help))
-	}
-	name, err := app.Parse(args)
-	if err != nil {
-		return err
-	}
-	return actions[name]()
-}
--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -9,18 +9,17 @@
 	"github.com/wagtailcroft/wagtailcroft/bench/generator"
 	"github.com/wagtailcroft/wagtailcroft/bench/timer"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
 const (
-	// Begin opens the generated part of the page.
-	Begin = "<!-- tables: make bench -->"
-	// End closes it.
-	End = "<!-- end of tables -->"
-
 	high = 0.95
 	top  = 0.99
 )
 
+// Part is the part of the page that the tables stand in.
+var Part = pager.Part{Begin: "<!-- tables: make bench -->", End: "<!-- end of tables -->"}
+
 // Row is the result of one policy on one load.
 type Row struct {
 	Load   generator.Load
--- a/demo/cmd_cost.go
+++ b/demo/cmd_cost.go
@@ -11,6 +11,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/demo/weigher"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
@@ -35,10 +36,10 @@
 	length   time.Duration
 }
 
-var cmdCost = command{
-	name: "cost",
-	help: "Measure what control costs a running instance, with a number of long gang jobs.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdCost = commander.Command{
+	Name: "cost",
+	Help: "Measure what control costs a running instance, with a number of long gang jobs.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		fl := &costFlags{}
 		cl.Flag("pid", "Process to measure.").Required().IntVar(&fl.pid)
 		cl.Flag("caller", "Its caller address.").Required().StringVar(&fl.caller)
--- a/demo/cmd_docs.go
+++ b/demo/cmd_docs.go
@@ -5,17 +5,20 @@
 	"path/filepath"
 
 	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
+
 	"github.com/wagtailcroft/wagtailcroft/demo/documenter"
 )
 
 const pagePerm = 0o644
 
-var cmdDocs = command{
-	name: "docs",
-	help: "Write the operators' pages that follow from the schema and the code.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdDocs = commander.Command{
+	Name: "docs",
+	Help: "Write the operators' pages that follow from the schema and the code.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		schema := cl.Flag("schema", "Schema of the settings.").Default("schema/settings.yaml").String()
 		folder := cl.Flag("folder", "Folder of the pages.").Default("docs/operators").String()
 		return func() error { return writeDocs(*schema, *folder) }
--- a/demo/cmd_faults.go
+++ b/demo/cmd_faults.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailcroft/wagtailcroft/demo/faulter"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
@@ -25,10 +26,10 @@
 	length    time.Duration
 }
 
-var cmdFaults = command{
-	name: "faults",
-	help: "Play load and faults against running processes and check what callers were told.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdFaults = commander.Command{
+	Name: "faults",
+	Help: "Play load and faults against running processes and check what callers were told.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		fl := &faultFlags{}
 		cl.Flag("instance", "An instance as NAME,ZONE,PID,CALLER,OPERATOR; at least six.").Required().StringsVar(&fl.instances)
 		cl.Flag("platform", "URL of the platform.").Required().StringVar(&fl.platform)
--- a/demo/cmd_run.go
+++ b/demo/cmd_run.go
@@ -12,6 +12,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/demo/launcher"
 	"github.com/wagtailcroft/wagtailcroft/demo/player"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/standin/platform"
@@ -26,10 +27,10 @@
 	tabwriterMinTab = 8
 )
 
-var cmdRun = command{
-	name: "run",
-	help: "Launch two zones of each deployment, play its work and print what happened.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdRun = commander.Command{
+	Name: "run",
+	Help: "Launch two zones of each deployment, play its work and print what happened.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		seed := cl.Flag("seed", "Seed of the random choices.").Default("1").Uint64()
 		verbose := cl.Flag("verbose", "Show the log of the entry instances.").Bool()
 		return func() error { return runDemo(*seed, *verbose) }
--- a/demo/cmd_slopes.go
+++ b/demo/cmd_slopes.go
@@ -4,18 +4,20 @@
 	"bufio"
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
+
 	"github.com/wagtailcroft/wagtailcroft/demo/weigher"
 )
 
-var cmdSlopes = command{
-	name: "slopes",
-	help: "Fit slopes to the lines of cost on standard input and write them into the page.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdSlopes = commander.Command{
+	Name: "slopes",
+	Help: "Fit slopes to the lines of cost on standard input and write them into the page.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		page := cl.Flag("page", "Page to write into.").Default("docs/CAPACITY.md").String()
 		return func() error { return slopes(*page) }
 	},
@@ -33,15 +35,5 @@
 	}
 	table := weigher.Table(samples)
 	fmt.Print(table)
-	page, err := os.ReadFile(path)
-	if err != nil {
-		return eris.Wrap(err, "read the page")
-	}
-	before, rest, found := strings.Cut(string(page), weigher.Begin)
-	_, after, closed := strings.Cut(rest, weigher.End)
-	if !found || !closed {
-		return eris.Errorf("%s has no place for the slopes", path)
-	}
-	text := before + weigher.Begin + "\n" + table + weigher.End + after
-	return eris.Wrap(os.WriteFile(path, []byte(text), pagePerm), "write the page")
+	return weigher.Part.Replace(path, table)
 }
--- a/demo/weigher/table.go
+++ b/demo/weigher/table.go
@@ -3,15 +3,13 @@
 import (
 	"fmt"
 	"strings"
-)
 
-const (
-	// Begin opens the generated part of the page.
-	Begin = "<!-- slopes: make slopes -->"
-	// End closes it.
-	End = "<!-- end of slopes -->"
+	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
+// Part is the part of the page that the slopes stand in.
+var Part = pager.Part{Begin: "<!-- slopes: make slopes -->", End: "<!-- end of slopes -->"}
+
 // kind names one cost and its limit for a node.
 type kind struct {
 	name  string
--- a/demo/weigher/weigher.go
+++ b/demo/weigher/weigher.go
@@ -120,7 +120,7 @@
 
 // Fit fits a line through the costs of samples over their sizes.
 func Fit(samples []Sample, size, cost func(Sample) float64) Line {
-	var xs, ys []float64
+	xs, ys := make([]float64, 0, len(samples)), make([]float64, 0, len(samples))
 	for _, sa := range samples {
 		xs = append(xs, size(sa))
 		ys = append(ys, cost(sa))
--- a/shared/placer/damage.go
+++ b/shared/placer/damage.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
@@ -36,14 +37,7 @@
 		zo.demands = append(zo.demands, demand{shape: sh, weight: 1})
 	}
 	slices.SortStableFunc(zo.demands, func(a, b demand) int {
-		switch {
-		case a.weight > b.weight:
-			return -1
-		case a.weight < b.weight:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(b.weight, a.weight)
 	})
 	zo.demands = zo.demands[:min(len(zo.demands), mostDemands)]
 	zo.demands = slices.DeleteFunc(zo.demands, func(de demand) bool { return de.weight < leastDemand })
--- a/shared/placer/finder.go
+++ b/shared/placer/finder.go
@@ -155,14 +155,23 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		return int(ro(&zo.workers[a]) - ro(&zo.workers[b]))
 	})
+	bl, _ := takeInOrder(sh, order, func(index int) int { return zo.fits(index, sh, ro) })
+	return bl
+}
+
+// takeInOrder puts the members on workers in the given order, on each as many as fit. It
+// reports whether all found a place.
+func takeInOrder(sh Shape, order []int, fits func(index int) int) (Block, bool) {
 	bl := Block{Shape: sh}
 	missing := int(sh.Members)
 	for _, index := range order {
-		take := min(missing, zo.fits(index, sh, ro))
-		if take > 0 {
+		if missing == 0 {
+			break
+		}
+		if take := min(missing, fits(index)); take > 0 {
 			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
 			missing -= take
 		}
 	}
-	return bl
+	return bl, missing == 0
 }
--- a/shared/placer/hold.go
+++ b/shared/placer/hold.go
@@ -122,15 +122,7 @@
 func takeRoom(sh Shape, part []int, room map[int]meter.Accelerators) Block {
 	order := slices.Clone(part)
 	slices.SortStableFunc(order, func(a, b int) int { return int(room[b] - room[a]) })
-	bl := Block{Shape: sh}
-	missing := int(sh.Members)
-	for _, index := range order {
-		take := min(missing, int(max(room[index], 0)/sh.Accelerators))
-		if take > 0 {
-			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
-			missing -= take
-		}
-	}
+	bl, _ := takeInOrder(sh, order, func(index int) int { return int(max(room[index], 0) / sh.Accelerators) })
 	return bl
 }
 
@@ -171,19 +163,7 @@
 func (zo *Zone) evictable(sh Shape, part []int, movable []meter.Accelerators) (Block, bool) {
 	order := slices.Clone(part)
 	slices.SortStableFunc(order, func(a, b int) int { return int(movable[a] - movable[b]) })
-	bl := Block{Shape: sh}
-	missing := int(sh.Members)
-	for _, index := range order {
-		wo := &zo.workers[index]
-		if !wo.usable {
-			continue
-		}
-		room := wo.coming() + movable[index]
-		take := min(missing, int(max(room, 0)/sh.Accelerators))
-		if take > 0 {
-			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
-			missing -= take
-		}
-	}
-	return bl, missing == 0
+	return takeInOrder(sh, order, func(index int) int {
+		return zo.fits(index, sh, func(wo *worker) meter.Accelerators { return wo.coming() + movable[index] })
+	})
 }
--- a/shared/placer/reclaim.go
+++ b/shared/placer/reclaim.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
@@ -63,15 +64,7 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		return int(zo.workers[a].borrowed - zo.workers[b].borrowed)
 	})
-	bl := Block{Shape: sh}
-	missing := int(sh.Members)
-	for _, index := range order {
-		take := min(missing, zo.fits(index, sh, roomReclaimable))
-		if take > 0 {
-			bl.Shares = append(bl.Shares, Share{Worker: index, Members: take})
-			missing -= take
-		}
-	}
+	bl, _ := takeInOrder(sh, order, func(index int) int { return zo.fits(index, sh, roomReclaimable) })
 	return bl
 }
 
@@ -132,7 +125,7 @@
 	for ga := range gone {
 		victims = append(victims, ga)
 	}
-	slices.SortFunc(victims, func(a, b *Gang) int { return compare(a.Job, b.Job) })
+	slices.SortFunc(victims, func(a, b *Gang) int { return cmp.Compare(a.Job, b.Job) })
 	dearest := byLost(victims, lost)
 	slices.Reverse(dearest)
 	for _, ga := range dearest {
@@ -173,14 +166,7 @@
 func byLost(gangs []*Gang, lost Lost) []*Gang {
 	list := slices.Clone(gangs)
 	slices.SortStableFunc(list, func(a, b *Gang) int {
-		switch la, lb := lost(a), lost(b); {
-		case la < lb:
-			return -1
-		case la > lb:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(lost(a), lost(b))
 	})
 	return list
 }
--- a/shared/placer/zone.go
+++ b/shared/placer/zone.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -137,7 +138,7 @@
 	for _, ga := range zo.gangs {
 		all = append(all, ga)
 	}
-	slices.SortFunc(all, func(a, b *Gang) int { return compare(a.Job, b.Job) })
+	slices.SortFunc(all, func(a, b *Gang) int { return cmp.Compare(a.Job, b.Job) })
 	return all
 }
 
@@ -224,14 +225,3 @@
 // coming is what is free once those told to go have gone, beyond what is promised to
 // others.
 func (wo *worker) coming() meter.Accelerators { return wo.free() + wo.leaving - wo.promised }
-
-func compare[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/shared/router/router.go
+++ b/shared/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -95,7 +96,7 @@
 		st.Runner = ru
 	} else {
 		ro.runners = append(ro.runners, &state{Runner: ru})
-		slices.SortFunc(ro.runners, func(a, b *state) int { return compare(a.ID, b.ID) })
+		slices.SortFunc(ro.runners, func(a, b *state) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	ro.wake()
 }
@@ -261,17 +262,6 @@
 	return nil
 }
 
-func compare(a, b identifier.Target) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Within reports whether no more of any runner is in use than a number of seats allows.
 func (ro *Router) Within(se Seats) bool {
 	ro.mu.Lock()
--- a/shared/scheduler/round.go
+++ b/shared/scheduler/round.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -271,16 +272,7 @@
 		score[id] = sc.score(jo, share[jo.Workspace], now)
 	}
 	slices.SortFunc(jobs, func(a, b Job) int {
-		switch {
-		case score[a.ID] > score[b.ID]:
-			return -1
-		case score[a.ID] < score[b.ID]:
-			return 1
-		case a.ID < b.ID:
-			return -1
-		default:
-			return 1
-		}
+		return cmp.Or(cmp.Compare(score[b.ID], score[a.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	return jobs
 }
--- a/wagtailcroftd/cmd_check_settings.go
+++ b/wagtailcroftd/cmd_check_settings.go
@@ -5,13 +5,14 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/loader"
 )
 
-var cmdCheckSettings = command{
-	name: "check-settings",
-	help: "Check a settings file and say what is wrong with it.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdCheckSettings = commander.Command{
+	Name: "check-settings",
+	Help: "Check a settings file and say what is wrong with it.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file in TOML.").Required().String()
 		return func() error { return checkSettings(*path) }
 	},
--- a/wagtailcroftd/cmd_serve.go
+++ b/wagtailcroftd/cmd_serve.go
@@ -10,15 +10,16 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/loader"
 	"github.com/wagtailcroft/wagtailcroft/shared/retrier"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/daemon"
 )
 
-var cmdServe = command{
-	name: "serve",
-	help: "Serve until SIGTERM or SIGINT, which stop gracefully; a second signal stops at once.",
-	bind: func(cl *kingpin.CmdClause) func() error {
+var cmdServe = commander.Command{
+	Name: "serve",
+	Help: "Serve until SIGTERM or SIGINT, which stop gracefully; a second signal stops at once.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file in TOML.").Required().String()
 		return func() error { return serve(*path) }
 	},
--- a/wagtailcroftd/daemon/gangs_test.go
+++ b/wagtailcroftd/daemon/gangs_test.go
@@ -252,7 +252,7 @@
 		states := []rows.JobRowState{sc.job(borrowed[0]).State, sc.job(borrowed[1]).State}
 		asserter.Equal(t, slices.Contains(states, rows.JobRowStateRunning), true)
 	})
-	t.Run("what was preempted goes on afterwards", func(t *testing.T) {
+	t.Run("what was preempted goes on afterwards", func(*testing.T) {
 		sc.pass(6 * clock.Second)
 		sc.inState(own, rows.JobRowStateDone)
 		for _, id := range borrowed {
--- a/wagtailcroftd/daemon/http_test.go
+++ b/wagtailcroftd/daemon/http_test.go
@@ -80,7 +80,7 @@
 			refuses(t, ask(handler, http.MethodPost, tc.path, tc.token, tc.body), tc.status, tc.kind)
 		})
 	}
-	t.Run("nothing was run by the refused ones", func(t *testing.T) { sc.ran("k", 1) })
+	t.Run("nothing was run by the refused ones", func(*testing.T) { sc.ran("k", 1) })
 	t.Run("another workspace's job cannot be read", func(t *testing.T) {
 		id := sc.mustSubmit("mine", shortWork)
 		refuses(t, ask(handler, http.MethodGet, "/v1/jobs/"+string(id), "token of online", ""), http.StatusNotFound, "notFound")
--- a/wagtailcroftd/daemon/requests_test.go
+++ b/wagtailcroftd/daemon/requests_test.go
@@ -71,7 +71,7 @@
 		sc.answered(re, answer, err)
 		sc.ran("idempotent", 2)
 	})
-	t.Run("a runner that started nothing is followed by another", func(t *testing.T) {
+	t.Run("a runner that started nothing is followed by another", func(*testing.T) {
 		sc.runners.refuse = 1
 		re := sc.request("refused")
 		answer, err := sc.send(0, re)
@@ -93,7 +93,7 @@
 		asserter.Kind(t, err, problem.AlreadyRefused)
 		sc.ran("late", 0)
 	})
-	t.Run("a refusal of a key that has run tells the truth", func(t *testing.T) {
+	t.Run("a refusal of a key that has run tells the truth", func(*testing.T) {
 		re := sc.request("ran")
 		answer, err := sc.send(0, re)
 		sc.answered(re, answer, err)
@@ -119,7 +119,7 @@
 	sc.answered(ran, answer, err)
 	sc.platform.Change(storeDown(true))
 	sc.pass(lease * 2)
-	t.Run("idempotent work is served", func(t *testing.T) {
+	t.Run("idempotent work is served", func(*testing.T) {
 		re := sc.request("idempotent")
 		re.Idempotent = true
 		answer, err := sc.send(0, re)
--- a/wagtailcroftd/main.go
+++ b/wagtailcroftd/main.go
@@ -4,10 +4,16 @@
 import (
 	"fmt"
 	"os"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 )
 
+const help = "An entry instance of wagtailcroft: serves callers and operators, routes requests, schedules gangs."
+
+var commands = []commander.Command{cmdServe, cmdCheckSettings, cmdVersion}
+
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	if err := commander.Run("wagtailcroftd", help, commands, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "wagtailcroftd:", err)
 		os.Exit(1)
 	}
--- a/wagtailcroftd/watcher/watcher.go
+++ b/wagtailcroftd/watcher/watcher.go
@@ -3,7 +3,9 @@
 package watcher
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -155,18 +157,10 @@
 	leaving := wa.allLeaving()
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	list := make([]platform.InventoryWorker, 0, len(wa.workers))
-	for _, wo := range wa.workers {
-		_, told := slices.BinarySearch(leaving, identifier.Target(wo.Worker))
-		wo.Leaving = wo.Leaving || told
-		list = append(list, wo)
+	list := slices.SortedFunc(maps.Values(wa.workers), func(a, b platform.InventoryWorker) int { return cmp.Compare(a.Worker, b.Worker) })
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || slices.Contains(leaving, identifier.Target(list[i].Worker))
 	}
-	slices.SortFunc(list, func(a, b platform.InventoryWorker) int {
-		if a.Worker < b.Worker {
-			return -1
-		}
-		return 1
-	})
 	return list
 }
 
@@ -175,17 +169,9 @@
 	leaving := wa.allLeaving()
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	list := make([]platform.InventoryRunner, 0, len(wa.targets))
-	for _, ru := range wa.targets {
-		_, told := slices.BinarySearch(leaving, ru.Runner)
-		ru.Leaving = ru.Leaving || told
-		list = append(list, ru)
+	list := slices.SortedFunc(maps.Values(wa.targets), func(a, b platform.InventoryRunner) int { return cmp.Compare(a.Runner, b.Runner) })
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || slices.Contains(leaving, list[i].Runner)
 	}
-	slices.SortFunc(list, func(a, b platform.InventoryRunner) int {
-		if a.Runner < b.Runner {
-			return -1
-		}
-		return 1
-	})
 	return list
 }
