--- a/demo/cmd_docs.go
+++ b/demo/cmd_docs.go
@@ -5,12 +5,10 @@
 	"path/filepath"
 
 	"github.com/alecthomas/kingpin/v2"
-
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailcroft/wagtailcroft/shared/commander"
-
 	"github.com/wagtailcroft/wagtailcroft/demo/documenter"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 )
 
 const pagePerm = 0o644
--- a/demo/cmd_slopes.go
+++ b/demo/cmd_slopes.go
@@ -6,12 +6,10 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
-
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailcroft/wagtailcroft/shared/commander"
-
 	"github.com/wagtailcroft/wagtailcroft/demo/weigher"
+	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 )
 
 var cmdSlopes = commander.Command{
--- /dev/null
+++ b/shared/tracer/tracer_test.go
@@ -0,0 +1,37 @@
+package tracer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+)
+
+func TestHops(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	tr := With(sdktrace.NewSimpleSpanProcessor(spans), "kochi-0")
+	handler := tr.Handler("entry", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, end := tr.Start(tr.Child(r.Context(), tr.Parent(r.Context())), "peer")
+		end(nil)
+	}))
+	ctx, end := tr.Start(t.Context(), "caller")
+	req := httptest.NewRequest(http.MethodGet, "/", nil)
+	asserter.OK(t, tr.Inject(ctx, req))
+	handler.ServeHTTP(httptest.NewRecorder(), req)
+	end(nil)
+	got := spans.GetSpans()
+	t.Run("each hop has a span", func(t *testing.T) { asserter.Equal(t, len(got), 3) })
+	t.Run("of one trace, carried over HTTP and messages", func(t *testing.T) {
+		for _, span := range got {
+			asserter.Equal(t, span.SpanContext.TraceID(), got[0].SpanContext.TraceID())
+		}
+	})
+	t.Run("each under the one before", func(t *testing.T) {
+		asserter.Equal(t, got[0].Parent.SpanID(), got[1].SpanContext.SpanID())
+		asserter.Equal(t, got[1].Parent.SpanID(), got[2].SpanContext.SpanID())
+	})
+}
--- a/wagtailcroftd/daemon/gangs_test.go
+++ b/wagtailcroftd/daemon/gangs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/caller"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
@@ -235,6 +236,38 @@
 	})
 }
 
+// TestOnce: an invoice-bearing render may be continued from a checkpoint, never repeated.
+func TestOnce(t *testing.T) {
+	once := func(sc *scene, key identifier.Key, work string) identifier.Job {
+		row, err := sc.daemons[0].Jobs.Submit(context.Background(), "studio", caller.JobBody{
+			Key: key, Kind: caller.JobBodyKindReRender, Class: types.ClassNormal, ExpectedMillis: 60_000, Payload: work, Once: true,
+			Shape: types.Shape{Members: 2, Accelerators: 8, Adjacency: types.AdjacencyRack},
+		})
+		asserter.OK(t, err)
+		return row.JobID
+	}
+	t.Run("an attempt that failed is not repeated", func(t *testing.T) {
+		sc := newScene(t, 1)
+		sc.setRow("studio")
+		sc.platform.Change(func(fa *platform.Faults) { fa.FailingWorkers = []identifier.Worker{"kochi-r00-w00", "kochi-r01-w00"} })
+		id := once(sc, "fails", shortWork)
+		sc.pass(10 * clock.Second)
+		sc.inState(id, rows.JobRowStateFailed)
+		asserter.Equal(t, sc.platform.Audit().GangsStarted, 1)
+	})
+	t.Run("one that moves is continued", func(t *testing.T) {
+		sc := newScene(t, 1)
+		sc.setRow("studio")
+		id := once(sc, "moves", longWork)
+		sc.pass(soon)
+		from := identifier.Target(sc.job(id).Workers[0])
+		asserter.OK(t, sc.daemons[0].Table.Drain(context.Background(), from, false))
+		sc.pass(4 * clock.Second)
+		sc.inState(id, rows.JobRowStateRunning)
+		asserter.Equal(t, sc.job(id).Attempt, 2)
+	})
+}
+
 func TestGuarantee(t *testing.T) {
 	sc := newScene(t, 1)
 	sc.setRow("studio")
--- a/wagtailcroftd/daemon/run.go
+++ b/wagtailcroftd/daemon/run.go
@@ -86,6 +86,7 @@
 		Jobs:         da.Jobs,
 		Peers:        da.Peers,
 		Targets:      da.Targets,
+		Lists:        da.store,
 		Zones:        da.Leases,
 		Gangs:        da.Gangs,
 		Ready:        func() bool { return !da.stopping.Load() },
--- a/wagtailcroftd/executor/executor.go
+++ b/wagtailcroftd/executor/executor.go
@@ -94,12 +94,12 @@
 
 	// Counts are totals since the start of the process.
 	Counts struct {
-		Placed    int64
-		Stopped   int64
-		Done      int64
-		Failed    int64
-		Cancelled int64
-		Conflicts int64
+		Placed    int64 `json:"placed"`
+		Stopped   int64 `json:"stopped"`
+		Done      int64 `json:"done"`
+		Failed    int64 `json:"failed"`
+		Cancelled int64 `json:"cancelled"`
+		Conflicts int64 `json:"conflicts"`
 	}
 
 	// job is a job that has not ended.
--- a/wagtailcroftd/operatorserver/operatorserver.go
+++ b/wagtailcroftd/operatorserver/operatorserver.go
@@ -35,6 +35,7 @@
 		Jobs         Jobs
 		Peers        Peers
 		Targets      Targets
+		Lists        Lists
 		Zones        Zones
 		Gangs        Gangs
 		// Ready reports whether the balancer should send callers here.
@@ -73,6 +74,11 @@
 		Runners() []platform.InventoryRunner
 	}
 
+	// Lists reads the platform's list of targets of any zone.
+	Lists interface {
+		Inventory(ctx context.Context, zone identifier.Zone, since meter.RowVersion) (platform.Inventory, error)
+	}
+
 	// Zones knows who schedules each zone.
 	Zones interface {
 		Holder(ctx context.Context, zone identifier.Zone) (identifier.Instance, error)
--- a/wagtailcroftd/operatorserver/work.go
+++ b/wagtailcroftd/operatorserver/work.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
@@ -86,24 +87,53 @@
 	}
 }
 
-// ListTargets returns the runners and workers of this zone.
-func (se *Server) ListTargets(context.Context, operator.ListTargetsRequestObject) (operator.ListTargetsResponseObject, error) {
-	return operator.ListTargets200JSONResponse{Targets: se.targets()}, nil
+// ListTargets returns the runners and workers of every zone that has an instance.
+func (se *Server) ListTargets(ctx context.Context, _ operator.ListTargetsRequestObject) (operator.ListTargetsResponseObject, error) {
+	list, err := se.targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ListTargets200JSONResponse{Targets: list}, nil
+}
+
+// targets lists what this instance knows of its own zone and what the platform lists of
+// the others.
+func (se *Server) targets(ctx context.Context) ([]operator.TargetView, error) {
+	own := platform.Inventory{Runners: se.Targets.Runners(), Workers: se.Targets.Workers()}
+	list := se.views(se.Zone, own)
+	for _, zone := range se.otherZones() {
+		inventory, err := se.Lists.Inventory(ctx, zone, 0)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, se.views(zone, inventory)...)
+	}
+	return list, nil
 }
 
-func (se *Server) targets() []operator.TargetView {
+func (se *Server) otherZones() []identifier.Zone {
+	var zones []identifier.Zone
+	for _, me := range se.Peers.Members() {
+		if me.Zone != se.Zone && !slices.Contains(zones, me.Zone) {
+			zones = append(zones, me.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+func (se *Server) views(zone identifier.Zone, inventory platform.Inventory) []operator.TargetView {
 	draining := se.Table.Snapshot().Draining
 	quarantined := se.Gangs.Quarantined()
-	runners, workers := se.Targets.Runners(), se.Targets.Workers()
-	list := make([]operator.TargetView, 0, len(runners)+len(workers))
-	for _, ru := range runners {
-		view := operator.TargetView{TargetID: ru.Runner, Kind: operator.TargetViewKindRunner, Zone: se.Zone}
+	list := make([]operator.TargetView, 0, len(inventory.Runners)+len(inventory.Workers))
+	for _, ru := range inventory.Runners {
+		view := operator.TargetView{TargetID: ru.Runner, Kind: operator.TargetViewKindRunner, Zone: zone}
 		view.State = stateOf(ru.Leaving, slices.Contains(draining, ru.Runner), false)
 		list = append(list, view)
 	}
-	for _, wo := range workers {
+	for _, wo := range inventory.Workers {
 		id := identifier.Target(wo.Worker)
-		view := operator.TargetView{TargetID: id, Kind: operator.TargetViewKindWorker, Zone: se.Zone, Rack: wo.Rack, Accelerators: wo.Accelerators}
+		view := operator.TargetView{TargetID: id, Kind: operator.TargetViewKindWorker, Zone: zone, Rack: wo.Rack, Accelerators: wo.Accelerators}
 		view.State = stateOf(wo.Leaving, slices.Contains(draining, id), slices.Contains(quarantined, wo.Worker))
 		list = append(list, view)
 	}
@@ -123,15 +153,20 @@
 	}
 }
 
-// DrainTarget empties a target, or with undo lets it take work again.
+// DrainTarget empties a target of any zone, or with undo lets it take work again.
 func (se *Server) DrainTarget(ctx context.Context, req operator.DrainTargetRequestObject) (operator.DrainTargetResponseObject, error) {
-	known := func(ta operator.TargetView) bool { return ta.TargetID == req.TargetID }
-	if !slices.ContainsFunc(se.targets(), known) {
-		return nil, problem.New(problem.NotFound, "zone %s has no target %s", se.Zone, req.TargetID)
+	list, err := se.targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	index := slices.IndexFunc(list, func(ta operator.TargetView) bool { return ta.TargetID == req.TargetID })
+	if index < 0 {
+		return nil, problem.New(problem.NotFound, "no zone has a target %s", req.TargetID)
 	}
 	if err := se.Table.Drain(ctx, req.TargetID, req.Params.Undo); err != nil {
 		return nil, err
 	}
-	list := se.targets()
-	return operator.DrainTarget200JSONResponse(list[slices.IndexFunc(list, known)]), nil
+	view := list[index]
+	view.State = stateOf(false, !req.Params.Undo, false)
+	return operator.DrainTarget200JSONResponse(view), nil
 }
--- a/wagtailcroftd/surveyor/surveyor.go
+++ b/wagtailcroftd/surveyor/surveyor.go
@@ -95,7 +95,7 @@
 func tooLarge(zone identifier.Zone, short []*placer.Reservation) error {
 	first := short[0]
 	return problem.New(problem.GuaranteeTooLarge,
-		"in zone %s %d guaranteed gangs find no room beside the others and the work that may not be preempted, the first being %s of workspace %s",
+		"zone %s has no room for %d of the guaranteed gangs beside the others and the work that may not be preempted; the first is %s of workspace %s",
 		zone, len(short), first.Shape, first.Workspace)
 }
 
