--- a/demo/cmd_cost.go
+++ b/demo/cmd_cost.go
@@ -31,9 +31,11 @@
 	operator string
 	token    string
 	workers  int
-	jobs     int
-	settle   time.Duration
-	length   time.Duration
+	// instances is the number of entry instances of the zone, for the report.
+	instances int
+	jobs      int
+	settle    time.Duration
+	length    time.Duration
 }
 
 var cmdCost = commander.Command{
@@ -46,6 +48,7 @@
 		cl.Flag("operator", "Its operator address.").Required().StringVar(&fl.operator)
 		cl.Flag("token", "Operators' token.").Required().StringVar(&fl.token)
 		cl.Flag("workers", "Workers of its zone, for the report.").Required().IntVar(&fl.workers)
+		cl.Flag("instances", "Entry instances of its zone, for the report.").Required().IntVar(&fl.instances)
 		cl.Flag("jobs", "Gang jobs to run.").Default("0").IntVar(&fl.jobs)
 		cl.Flag("settle", "Wait before measuring.").Default("8s").DurationVar(&fl.settle)
 		cl.Flag("length", "How long to measure.").Default("15s").DurationVar(&fl.length)
@@ -65,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	sample.Workers, sample.Jobs = fl.workers, fl.jobs
+	sample.Instances, sample.Workers, sample.Jobs = fl.instances, fl.workers, fl.jobs
 	fmt.Println(sample.Print())
 	return nil
 }
--- a/demo/cmd_slopes.go
+++ b/demo/cmd_slopes.go
@@ -31,6 +31,9 @@
 		}
 		samples = append(samples, sample)
 	}
+	if err := weigher.Enough(samples); err != nil {
+		return err
+	}
 	table := weigher.Table(samples)
 	fmt.Print(table)
 	return weigher.Part.Replace(path, table)
--- a/demo/weigher/weigher.go
+++ b/demo/weigher/weigher.go
@@ -29,8 +29,10 @@
 type (
 	// Sample is the cost of one process at one size.
 	Sample struct {
-		Workers int
-		Jobs    int
+		// Instances is the number of entry instances of the zone.
+		Instances int
+		Workers   int
+		Jobs      int
 		// Processor is the part of one core in percent.
 		Processor float64
 		// Memory is the resident memory in MB.
