--- a/wagtailcroftd/daemon/daemon.go
+++ b/wagtailcroftd/daemon/daemon.go
@@ -40,6 +40,9 @@
 	watchPeriod = 1500 * clock.Millis(1)
 	flushPeriod = clock.Second
 	forgetAfter = 10 * clock.Minute // a member that says nothing is shown to operators this long
+
+	platformConnections = 8  // kept open to the platform
+	runnerConnections   = 64 // most to one runner; the seats bound them further
 )
 
 type (
@@ -130,11 +133,6 @@
 	}
 }
 
-const (
-	platformConnections = 8
-	runnerConnections   = 64
-)
-
 func (da *Daemon) assemble() error {
 	set, out := da.Settings, da.outside
 	store, err := storer.New(storer.Options{
--- a/wagtailcroftd/daemon/requests_test.go
+++ b/wagtailcroftd/daemon/requests_test.go
@@ -152,6 +152,20 @@
 	})
 }
 
+func TestCallersThatLeaveDoNotStopTheStore(t *testing.T) {
+	sc := newScene(t, 1)
+	sc.setRow("studio")
+	id := sc.mustSubmit("job", shortWork)
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	for range 8 {
+		_, err := sc.daemons[0].Jobs.Get(left, "studio", id)
+		asserter.Kind(t, err, problem.StoreUnavailable)
+	}
+	_, err := sc.daemons[0].Jobs.Get(context.Background(), "studio", id)
+	asserter.OK(t, err)
+}
+
 func TestOutcomeIsKeptUntilTheStoreAnswers(t *testing.T) {
 	sc := newScene(t, 2)
 	sc.setRow("studio")
--- a/wagtailcroftd/daemon/scene_test.go
+++ b/wagtailcroftd/daemon/scene_test.go
@@ -230,6 +230,9 @@
 }
 
 func (dd *directDoer) Do(req *http.Request) (answer *http.Response, err error) {
+	if err := req.Context().Err(); err != nil {
+		return nil, err
+	}
 	if dd.left == 0 {
 		return nil, eris.New("the instance is cut off")
 	}
--- a/wagtailcroftd/storer/storer.go
+++ b/wagtailcroftd/storer/storer.go
@@ -93,6 +93,7 @@
 	if wait := st.paused(); wait > 0 {
 		return none, problem.New(problem.StoreUnavailable, "the store has not answered; it is left alone").Retry(wait)
 	}
+	caller := ctx
 	ctx, cancel := st.options.Clock.Bound(ctx, st.options.Timeout)
 	defer cancel()
 	ctx, end := st.options.Tracer.Start(ctx, hop)
@@ -101,6 +102,10 @@
 		err = eris.Errorf("the store answered %d", an.StatusCode())
 	}
 	end(err)
+	if err != nil && caller.Err() != nil {
+		// The caller has left, which says nothing of the store.
+		return none, problem.New(problem.StoreUnavailable, "%v", err)
+	}
 	if err != nil {
 		return none, problem.New(problem.StoreUnavailable, "%v", err).Retry(st.failed())
 	}
