--- a/wagtailcroftd/daemon/fuzz_test.go
+++ b/wagtailcroftd/daemon/fuzz_test.go
@@ -190,7 +190,7 @@
 func (ma *machine) replaceOne(*rapid.T) {
 	if number := ma.alive(); number >= 0 && len(ma.daemons) < mostInstances {
 		ma.dead[number], ma.paused[number] = true, true
-		ma.add()
+		ma.add(kochi)
 	}
 }
 
@@ -237,7 +237,7 @@
 		ma.doers[number].left = -1
 	}
 	if ma.alive() < 0 {
-		ma.add()
+		ma.add(kochi)
 	}
 	ma.pass(heal)
 }
--- a/wagtailcroftd/daemon/gangs_test.go
+++ b/wagtailcroftd/daemon/gangs_test.go
@@ -298,7 +298,7 @@
 		asserter.OK(t, err)
 		sc.pass(4 * clock.Second)
 		asserter.Equal(t, sc.job(again).Guaranteed, true)
-		sc.add()
+		sc.add(kochi)
 		sc.paused[0] = true
 		sc.pass(3 * lease)
 		row, err := sc.daemons[1].Jobs.Get(context.Background(), "", again)
--- a/wagtailcroftd/daemon/scene_test.go
+++ b/wagtailcroftd/daemon/scene_test.go
@@ -33,9 +33,11 @@
 
 const (
 	tick  = 500 * clock.Millis(1)
-	kochi = identifier.Zone("kochi")
 	soon  = 2 * clock.Second
 	lease = 6 * clock.Second
+
+	kochi    = identifier.Zone("kochi")
+	thrissur = identifier.Zone("thrissur")
 )
 
 func TestMain(m *testing.M) { seeder.Main(m) }
@@ -57,23 +59,26 @@
 // newScene starts a number of instances in one zone of two racks with two workers each.
 func newScene(t asserter.Test, instances int) *scene {
 	sc := &scene{t: t, clock: clock.NewFake(1_000_000), runners: newFakeRunners(), paused: map[int]bool{}}
-	layout := platform.Layout{Zones: []platform.ZoneLayout{{Zone: kochi, Racks: 2, WorkersPerRack: 2, Accelerators: 8, Runners: []string{"runner-0", "runner-1"}}}}
+	layout := platform.Layout{Zones: []platform.ZoneLayout{
+		{Zone: kochi, Racks: 2, WorkersPerRack: 2, Accelerators: 8, Runners: []string{"runner-0", "runner-1"}},
+		{Zone: thrissur, Racks: 1, WorkersPerRack: 2, Accelerators: 8, Runners: []string{"runner-2"}},
+	}}
 	sc.platform = platform.New(sc.clock, layout)
 	sc.handler = sc.platform.Handler()
 	sc.peers = &fakePeers{scene: sc, services: map[string]int{}}
 	for range instances {
-		sc.add()
+		sc.add(kochi)
 	}
 	sc.run(4)
 	return sc
 }
 
-// add starts one more instance.
-func (sc *scene) add() {
+// add starts one more instance in a zone.
+func (sc *scene) add(zone identifier.Zone) {
 	number := len(sc.daemons)
 	set, err := loader.Parse(fmt.Appendf(nil, `
-instance = "kochi-%d"
-zone = "kochi"
+instance = "%s-%d"
+zone = %q
 callerAddress = "127.0.0.1:1"
 operatorAddress = "127.0.0.1:2"
 peerAddress = "127.0.0.1:%d"
@@ -82,7 +87,7 @@
 [runners]
 seats = 4
 dispatchers = 4
-`, number, number+1000, identifier.Digest("operator")))
+`, zone, number, zone, number+1000, identifier.Digest("operator")))
 	asserter.OK(sc.t, err)
 	doer := &directDoer{handler: sc.handler, left: -1}
 	sc.doers = append(sc.doers, doer)
--- a/wagtailcroftd/daemon/table_test.go
+++ b/wagtailcroftd/daemon/table_test.go
@@ -48,7 +48,7 @@
 		asserter.Equal(t, sc.daemons[1].Table.Confirmed(), true)
 	})
 	t.Run("also on an instance that starts later", func(*testing.T) {
-		sc.add()
+		sc.add(kochi)
 		sc.run(1)
 		sc.inForce(3, 3)
 	})
