Move more small work for large gangs where fragmentation weighs more

Change: with the fragmentation preset, small gangs up to half of a large one's size are moved for it, instead of a quarter. The cost of control is measured on the instance that schedules the zone.

--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -10,11 +10,14 @@
   (
     source scripts/processes.sh
     start_standin --deployment thengola --racks "$2"
-    for ((i = $1 - 1; i >= 0; i--)); do
+    start_instance kochi-0 kochi "$PORT" "$1"
+    measured=$INSTANCE_PID
+    sleep 1 # the first takes the scheduler lease, so that its cost is that of the dearest role
+    for ((i = 1; i < $1; i++)); do
       start_instance "kochi-$i" kochi "$((PORT + 10 * i))" "$1"
     done
     sleep 8
-    "$BIN/demo" cost --pid "$INSTANCE_PID" --caller "127.0.0.1:$PORT" --operator "127.0.0.1:$((PORT + 1))" \
+    "$BIN/demo" cost --pid "$measured" --caller "127.0.0.1:$PORT" --operator "127.0.0.1:$((PORT + 1))" \
       --token "$TOKEN" --instances "$1" --workers $(($2 * PER_RACK)) --jobs "$3" --settle 5s --length 12s
   )
 }
--- a/shared/scheduler/scheduler.go
+++ b/shared/scheduler/scheduler.go
@@ -116,7 +116,7 @@
 		WeighsDemand:   true,
 	}
 	if pr == Fragmentation {
-		po.CompactShare = 0.25
+		po.CompactShare = 0.5
 	}
 	return po
 }
