Bound the refusals that are made certain at one time

Cause: under an overload every refusal of a key that may have been sent before costs a write; nothing bounded them. Found on reading. Change: sixteen at a time; the rest are told as unknown, with a time to retry. Measured: the new test has the 17th nested refusal unknown, the rest not run.

--- a/wagtailcroftd/daemon/requests_test.go
+++ b/wagtailcroftd/daemon/requests_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dispatcher"
 )
@@ -102,6 +104,27 @@
 		sc.answered(re, answer, err)
 		sc.ran("ran", 1)
 	})
+	t.Run("only so many refusals at a time are made certain; the rest are unknown", func(t *testing.T) {
+		var outcomes []problem.Outcome
+		var nest func(depth int) func()
+		nest = func(depth int) func() {
+			return func() {
+				if depth == 0 {
+					return
+				}
+				sc.doers[0].before = nest(depth - 1)
+				re := sc.request(identifier.Key(fmt.Sprintf("overload-%d", depth)))
+				re.Deadline = sc.clock.Now()
+				_, err := sc.send(0, re)
+				outcomes = append(outcomes, problem.From(err).Outcome)
+			}
+		}
+		nest(17)()
+		sc.doers[0].before = nil
+		asserter.Equal(t, len(outcomes), 17)
+		asserter.Equal(t, outcomes[0], problem.Unknown) // the innermost
+		asserter.Equal(t, outcomes[16], problem.NotRun)
+	})
 	t.Run("runners that all refuse", func(t *testing.T) {
 		sc.runners.refuse = 100
 		_, err := sc.send(0, sc.request("busy"))
--- a/wagtailcroftd/dispatcher/dispatcher.go
+++ b/wagtailcroftd/dispatcher/dispatcher.go
@@ -28,6 +28,10 @@
 	// priorPoll is the time between two looks at another call's claim.
 	priorPoll = 250 * clock.Millis(1)
 
+	// mostCertified bounds the refusals that are made certain at one time, so that an
+	// overload does not become one of the store.
+	mostCertified = 16
+
 	// answerGrace is how long after its deadline a request may still learn its result,
 	// so that one that was not run is not reported as unknown.
 	answerGrace = 100 * clock.Millis(1)
@@ -97,7 +101,11 @@
 	}
 
 	// Dispatcher serves requests with a pool of workers.
-	Dispatcher struct{ Options }
+	Dispatcher struct {
+		Options
+		// certifying holds one entry for each refusal that is being made certain.
+		certifying chan struct{}
+	}
 
 	// exchange is one request on its way.
 	exchange struct {
@@ -114,7 +122,9 @@
 )
 
 // New returns a dispatcher.
-func New(op Options) *Dispatcher { return &Dispatcher{Options: op} }
+func New(op Options) *Dispatcher {
+	return &Dispatcher{Options: op, certifying: make(chan struct{}, mostCertified)}
+}
 
 // Send serves a request. Its errors say truthfully whether the request was run: NotRun
 // only if that is certain and stays so, Failed if it was started and failed, Unknown
@@ -188,6 +198,12 @@
 	if re.FirstAttempt || refusal.Kind == problem.AlreadyRefused {
 		return Answer{}, refusal
 	}
+	select {
+	case di.certifying <- struct{}{}:
+		defer func() { <-di.certifying }()
+	default:
+		return Answer{}, problem.New(problem.OutcomeUnknown, "%s; and too many refusals are being made certain", refusal.Detail).Retry(refusedRetry)
+	}
 	prior, err := di.Claims.Refuse(context.WithoutCancel(ctx), claimOf(re))
 	switch {
 	case problem.KindOf(err) == problem.KeyReused:
