--- a/wagtailcroftd/daemon/requests_test.go
+++ b/wagtailcroftd/daemon/requests_test.go
@@ -8,9 +8,12 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dispatcher"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/storer"
 )
 
 func loseAnswers(count int32) func(*platform.Faults) {
@@ -189,6 +192,27 @@
 	asserter.OK(t, err)
 }
 
+func TestRowsOfTheDeadAreSwept(t *testing.T) {
+	sc := newScene(t, 2)
+	key := storer.MemberKey(kochi, "kochi-1")
+	read := func() meter.RowVersion {
+		row, err := storer.Read[rows.MemberRow](context.Background(), sc.daemons[0].Gangs.Store, key)
+		asserter.OK(t, err)
+		return row.Version
+	}
+	sc.paused[1] = true
+	sc.pass(clock.Minute)
+	asserter.Equal(t, read() > 0, true)
+	sc.clock.Advance(10 * clock.Minute)
+	sc.pass(soon)
+	asserter.Equal(t, read(), 0)
+	t.Run("one that wakes writes its row again", func(t *testing.T) {
+		sc.paused[1] = false
+		sc.pass(soon)
+		asserter.Equal(t, read() > 0, true)
+	})
+}
+
 func TestOutcomeIsKeptUntilTheStoreAnswers(t *testing.T) {
 	sc := newScene(t, 2)
 	sc.setRow("studio")
--- a/wagtailcroftd/daemon/run.go
+++ b/wagtailcroftd/daemon/run.go
@@ -131,7 +131,10 @@
 		shares{routes: da.Routes, of: da.Settings.Runners.Seats}.Use(da.Leases.Seats())
 		return err
 	}
-	return da.Leases.Step(ctx)
+	if err := da.Leases.Step(ctx); err != nil {
+		return err
+	}
+	return da.Peers.Sweep(ctx)
 }
 
 func (da *Daemon) stepPeers(ctx context.Context) error {
--- a/wagtailcroftd/heartbeater/heartbeater.go
+++ b/wagtailcroftd/heartbeater/heartbeater.go
@@ -73,6 +73,8 @@
 		// Stale means that the row has not changed for a while: the instance is dead, or
 		// cannot confirm its table.
 		Stale bool
+		// Version is that of the row.
+		Version meter.RowVersion
 	}
 
 	// Heartbeater is the table of entry instances.
--- a/wagtailcroftd/heartbeater/members.go
+++ b/wagtailcroftd/heartbeater/members.go
@@ -9,6 +9,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/storer"
 )
 
@@ -73,24 +74,55 @@
 	defer he.mu.Unlock()
 	now := he.Clock.Now()
 	for _, row := range list {
-		if !row.Removed {
-			he.members[row.Value.Instance] = memberOf(row.Value, now)
+		if row.Removed {
+			_, name, _ := strings.Cut(row.Name, "/")
+			delete(he.members, identifier.Instance(name))
+			continue
 		}
+		he.members[row.Value.Instance] = memberOf(row, now)
 	}
 	return upTo, nil
 }
 
-func memberOf(row rows.MemberRow, now clock.Millis) Member {
+func memberOf(row storer.Row[rows.MemberRow], now clock.Millis) Member {
 	return Member{
-		Instance:     row.Instance,
-		Zone:         row.Zone,
-		Address:      row.PeerAddress,
-		TableVersion: row.TableVersion,
-		Leaving:      row.Leaving,
+		Instance:     row.Value.Instance,
+		Zone:         row.Value.Zone,
+		Address:      row.Value.PeerAddress,
+		TableVersion: row.Value.TableVersion,
+		Leaving:      row.Value.Leaving,
 		Seen:         now,
+		Version:      row.Version,
 	}
 }
 
+// Sweep removes the rows of instances of the zone that have not changed for a long time.
+// One that lives after all writes its row again.
+func (he *Heartbeater) Sweep(ctx context.Context) error {
+	for _, me := range he.forgotten() {
+		ba := &storer.Batch{}
+		key := storer.MemberKey(me.Zone, me.Instance)
+		ba.Require(key, me.Version)
+		ba.Remove(key)
+		if _, err := he.Store.Commit(ctx, ba); err != nil && problem.KindOf(err) != problem.Conflict {
+			return err
+		}
+	}
+	return nil
+}
+
+func (he *Heartbeater) forgotten() []Member {
+	he.mu.Lock()
+	defer he.mu.Unlock()
+	var list []Member
+	for _, me := range he.members {
+		if me.Zone == he.Zone && me.Instance != he.Instance && he.Clock.Now()-me.Seen >= he.Forget {
+			list = append(list, me)
+		}
+	}
+	return list
+}
+
 // neighbours lists the other instances of the zone that may be alive.
 func (he *Heartbeater) neighbours() []Member {
 	he.mu.Lock()
