Test that a late answer becomes the truth for a later call

Cause: of the wrong answers only late ones had no test. Change: a runner answers after the caller's deadline: the caller is told unknown, and the next call with the key gets the stored answer.

--- a/demo/launcher/launcher_test.go
+++ b/demo/launcher/launcher_test.go
@@ -114,6 +114,15 @@
 			whole(t, send(t, cl, 0, key, true), key)
 		}
 	})
+	t.Run("late is told as unknown, and to a later call as what it was", func(t *testing.T) {
+		target.Break(runner.Faults{DelayMillis: 3000})
+		an := sendFor(t, cl, 0, "late", false, 1500)
+		asserter.Equal(t, an.ApplicationProblemJSONDefault != nil, true)
+		asserter.Equal(t, an.ApplicationProblemJSONDefault.Outcome, types.OutcomeUnknown)
+		target.Break(runner.Faults{})
+		whole(t, send(t, cl, 0, "late", false), "late")
+		asserter.Equal(t, target.Runs("studio", "late"), 1)
+	})
 	t.Run("work that failed is told as failed", func(t *testing.T) {
 		target.Break(runner.Faults{Failing: true})
 		an := send(t, cl, 0, "failing", false)
