--- a/shared/seeder/seeder.go
+++ b/shared/seeder/seeder.go
@@ -19,10 +19,13 @@
 )
 
 // Main runs the tests of a package with the seed fixed; it is called by TestMain.
-func Main(m *testing.M) {
+func Main(m *testing.M) { MainWith(m, fixedChecks) }
+
+// MainWith is Main with another number of runs of each fuzz test.
+func MainWith(m *testing.M, checks string) {
 	flag.Parse()
 	set("rapid.seed", value(SeedVariable, fixedSeed))
-	set("rapid.checks", value(ChecksVariable, fixedChecks))
+	set("rapid.checks", value(ChecksVariable, checks))
 	set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
