Serve step jobs on the users' platform from end to end

Cause: the product knew one gang in one zone and an invented platform; the users' platform was fixed since.

Change: `decisions` (workload, planner, policy, fleet) holds the grown job model and plans without network or encoding; `platform` translates wire messages that are generated from platform/schema; wagtailcroftd gains recorder, tailer, follower, intake and conductor, and the subcommand `schedule`. One holder of a fenced duty row decides; every plan is recorded before its orders are given; any instance answers callers from the store. The clock counts suspended time.

Ruled out: deciding per zone (a gang may need more than a zone's workers, and a guarantee belongs to a workspace over all zones).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # The front door: make help
 
 BIN := $(CURDIR)/.bin
-MODULES := shared standin wagtailcroftd wagtailcroft demo bench
-SCHEMAS := types caller operator peer rows platform runner settings
+MODULES := shared decisions platform standin wagtailcroftd wagtailcroft demo bench
+SCHEMAS := types caller operator peer rows platform runner settings ledger member
 OAPI_VERSION := v2.8.2
 LINT_VERSION := v2.15.0
 # The names of KNOWN-RED.txt, joined for go test -skip; empty when none are listed.
@@ -46,10 +46,11 @@
 
 generate: $(BIN)/oapi-codegen ## generate Go from schema/
 	@for s in $(SCHEMAS); do mkdir -p shared/gen/$$s && (cd schema && $(BIN)/oapi-codegen --config $$s.gen.yaml $$s.yaml) || exit 1; done
+	@cd platform/schema && $(BIN)/oapi-codegen --config wire.gen.yaml wire.yaml
 	go run ./demo docs
 
 check-generated: generate ## fail when the committed output is stale
-	git diff --exit-code -- shared/gen docs/operators
+	git diff --exit-code -- shared/gen platform/wire docs/operators
 
 $(BIN)/golangci-lint:
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- /dev/null
+++ b/decisions/planner/round.go
@@ -0,0 +1,294 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+const (
+	// rackPatience is how long a gang waits for room on one rack before it is spread over
+	// several, relative to its estimate: on several racks it takes farFactor times as long,
+	// and 3 is the least that the platform states.
+	rackPatience = 2
+	// leastPatience bounds the wait for one rack from below, for estimates are far off.
+	leastPatience = 1500 * clock.Millis(1)
+	// mostPatience bounds it from above, within the shortest objective.
+	mostPatience = 4 * clock.Second
+)
+
+type (
+	// round is the state of one plan.
+	round struct {
+		in      Input
+		plan    Plan
+		slots   []*slot
+		byID    map[identifier.Worker]*slot
+		covered map[identifier.Job]bool
+	}
+
+	// slot is a worker with the room that the plan so far leaves.
+	slot struct {
+		worker *Worker
+		// now is free at once. It is negative where work exceeds the capacity.
+		now workload.Room
+		// soon is free once all that is stopping has ended.
+		soon workload.Room
+		runs []run
+		// planned counts the tasks of a stage that the plan puts here.
+		planned map[*workload.Stage]int
+	}
+
+	// run is a run that could be stopped.
+	run struct {
+		job   *workload.Job
+		stage *workload.Stage
+		index int
+		rank  int
+	}
+)
+
+func newRound(in Input) *round {
+	ro := &round{in: in, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coverage(in)}
+	for i := range in.Workers {
+		wo := &in.Workers[i]
+		sl := &slot{worker: wo, now: wo.Capacity, soon: wo.Capacity, planned: map[*workload.Stage]int{}}
+		ro.slots = append(ro.slots, sl)
+		ro.byID[wo.ID] = sl
+	}
+	for _, jo := range in.Jobs {
+		qu := in.Queues[jo.Queue]
+		rank := ro.rank(jo, qu)
+		jo.Held(func(st *workload.Stage, index int, ta *workload.Task) {
+			ro.occupy(run{job: jo, stage: st, index: index, rank: rank}, ta)
+		})
+	}
+	return ro
+}
+
+// occupy takes the room of a run. Runs of a former life of the worker take none.
+func (ro *round) occupy(ru run, ta *workload.Task) {
+	sl := ro.byID[ta.Worker]
+	if sl == nil || sl.worker.Life != ta.Life {
+		return
+	}
+	need := ru.job.StepOf(ru.stage).Reserved()
+	sl.now = sl.now.Sub(need)
+	if ta.Phase != workload.Stopping {
+		sl.soon = sl.soon.Sub(need)
+		sl.runs = append(sl.runs, ru)
+	}
+}
+
+// serve places a candidate now, or keeps the room that will be free for it, or makes room.
+func (ro *round) serve(ca candidate) {
+	if !ca.step.Gang {
+		for _, index := range ca.indexes {
+			ro.serveTasks(ca, []int{index})
+		}
+		return
+	}
+	ro.serveTasks(ca, ca.indexes)
+}
+
+func (ro *round) serveTasks(ca candidate, indexes []int) {
+	if found := ro.find(ca, len(indexes), free); found != nil {
+		ro.start(ca, indexes, found)
+		return
+	}
+	if found := ro.find(ca, len(indexes), freeSoon); found != nil {
+		ro.keep(ca, found)
+		return
+	}
+	if ca.queue.Priority == 0 {
+		ro.preempt(ca, len(indexes))
+	}
+}
+
+// start plans new runs.
+func (ro *round) start(ca candidate, indexes []int, found []*slot) {
+	ro.keep(ca, found)
+	places := make([]Place, len(indexes))
+	for i, index := range indexes {
+		places[i] = Place{Index: index, Worker: found[i].worker.ID, Life: found[i].worker.Life}
+	}
+	ro.plan.Starts = append(ro.plan.Starts, Start{Job: ca.job, Stage: ca.stage, Places: places})
+}
+
+// keep takes the room of a candidate out of what later ones may use.
+func (ro *round) keep(ca candidate, found []*slot) {
+	need := ca.step.Reserved()
+	for _, sl := range found {
+		sl.now = sl.now.Sub(need)
+		sl.soon = sl.soon.Sub(need)
+		sl.planned[ca.stage]++
+	}
+}
+
+func free(sl *slot) workload.Room     { return sl.now }
+func freeSoon(sl *slot) workload.Room { return sl.soon }
+
+// find returns a slot for each of count equal tasks, or nil if they do not all fit.
+func (ro *round) find(ca candidate, count int, view func(*slot) workload.Room) []*slot {
+	slots := ro.allowed(ca)
+	if rack := ca.step.DataRack; rack != "" {
+		if found := pack(ca, onRack(slots, rack), count, view); found != nil {
+			return found
+		}
+		if ro.patient(ca) {
+			return nil
+		}
+	}
+	if !ca.step.SameRack || count == 1 {
+		return pack(ca, slots, count, view)
+	}
+	if found := packRack(ca, slots, count, view); found != nil {
+		return found
+	}
+	if ro.patient(ca) {
+		return nil
+	}
+	return pack(ca, slots, count, view)
+}
+
+// patient reports whether the candidate is still better off waiting for its rack.
+func (ro *round) patient(ca candidate) bool {
+	most := min(max(rackPatience*ca.step.Estimate, leastPatience), mostPatience)
+	if ca.rank == rankGuaranteed {
+		most = leastPatience
+	}
+	return ro.in.Waited(ca.job.ID) < most
+}
+
+// allowed lists the slots that may run the candidate's tasks.
+func (ro *round) allowed(ca candidate) []*slot {
+	slots := make([]*slot, 0, len(ro.slots))
+	for _, sl := range ro.slots {
+		wo := sl.worker
+		if !wo.Usable || wo.Pool != ca.queue.Pool || !wo.Capacity.Fits(ca.step.Reserved()) {
+			continue
+		}
+		if ca.step.Requires != "" && !slices.Contains(wo.Labels, ca.step.Requires) {
+			continue
+		}
+		slots = append(slots, sl)
+	}
+	return slots
+}
+
+func onRack(slots []*slot, rack identifier.Rack) []*slot {
+	var some []*slot
+	for _, sl := range slots {
+		if sl.worker.Rack == rack {
+			some = append(some, sl)
+		}
+	}
+	return some
+}
+
+// racks groups slots by rack, in order of the rack's name.
+func racks(slots []*slot) [][]*slot {
+	groups := map[identifier.Rack][]*slot{}
+	for _, sl := range slots {
+		groups[sl.worker.Rack] = append(groups[sl.worker.Rack], sl)
+	}
+	names := make([]identifier.Rack, 0, len(groups))
+	for name := range groups {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	all := make([][]*slot, len(names))
+	for i, name := range names {
+		all[i] = groups[name]
+	}
+	return all
+}
+
+// packRack packs the tasks into the rack on which the least room is left over.
+func packRack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+	var best []*slot
+	least := 0.0
+	for _, group := range racks(slots) {
+		found := pack(ca, group, count, view)
+		if found == nil {
+			continue
+		}
+		var left float64
+		for _, sl := range group {
+			left += share(view(sl), sl.worker.Capacity)
+		}
+		if best == nil || left < least {
+			best, least = found, left
+		}
+	}
+	return best
+}
+
+// pack chooses a slot for each task by best fit, or returns nil if they do not all fit.
+func pack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+	need := ca.step.Reserved()
+	left := make([]workload.Room, len(slots))
+	spread := make([]int, len(slots))
+	for i, sl := range slots {
+		left[i] = view(sl)
+		spread[i] = spreadLeft(ca, sl)
+	}
+	found := make([]*slot, 0, count)
+	for range count {
+		best, lowest := -1, 0.0
+		for i, sl := range slots {
+			if spread[i] == 0 || !left[i].Fits(need) {
+				continue
+			}
+			score := share(left[i].Sub(need), sl.worker.Capacity)
+			if sl.worker.Suspect {
+				score += suspectPenalty
+			}
+			if best < 0 || score < lowest {
+				best, lowest = i, score
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		left[best] = left[best].Sub(need)
+		spread[best]--
+		found = append(found, slots[best])
+	}
+	return found
+}
+
+// suspectPenalty exceeds every share, so that a suspect worker comes last.
+const suspectPenalty = 10.0
+
+// unlimited stands for a step without a spread limit.
+const unlimited = 1 << 30
+
+// spreadLeft is how many more tasks of the candidate's stage the worker may run.
+func spreadLeft(ca candidate, sl *slot) int {
+	if ca.step.Spread <= 0 {
+		return unlimited
+	}
+	left := ca.step.Spread
+	for i := range ca.stage.Tasks {
+		if ta := &ca.stage.Tasks[i]; ta.Held() && ta.Worker == sl.worker.ID {
+			left--
+		}
+	}
+	return max(left-sl.planned[ca.stage], 0)
+}
+
+// share is how much of a capacity a room is, summed over the resources.
+func share(ro, of workload.Room) float64 {
+	return part(float64(ro.CPU), float64(of.CPU)) + part(float64(ro.Memory), float64(of.Memory)) +
+		part(float64(ro.Accelerators), float64(of.Accelerators))
+}
+
+func part(amount, of float64) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return amount / of
+}
--- a/shared/clock/clock.go
+++ b/shared/clock/clock.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -32,8 +34,11 @@
 
 	// System is the clock of the machine.
 	System struct {
-		// start carries the monotonic reading, so that Now never goes back.
-		start time.Time
+		// start is the time of day at which the clock was made.
+		start Millis
+		// booted is the time since the machine's start at that moment. It also counts while
+		// the machine is suspended, which the runtime's own monotonic clock does not.
+		booted Millis
 	}
 
 	// Fake is a clock that moves when it is told to.
@@ -52,11 +57,22 @@
 )
 
 // New returns the clock of the machine.
-func New() *System { return &System{start: time.Now()} }
+func New() *System { return &System{start: Millis(time.Now().UnixMilli()), booted: sinceBoot()} }
+
+// Now returns milliseconds since the Unix epoch, as of the clock's start and what has
+// passed since then, also while the machine was suspended.
+func (sy *System) Now() Millis { return sy.start + sinceBoot() - sy.booted }
+
+// TimeOfDay returns milliseconds since the Unix epoch. It may jump.
+func (sy *System) TimeOfDay() Millis { return Millis(time.Now().UnixMilli()) }
 
-// Now returns milliseconds since the Unix epoch.
-func (sy *System) Now() Millis {
-	return Millis(sy.start.UnixMilli()) + Millis(time.Since(sy.start).Milliseconds())
+// sinceBoot never fails on Linux with a known clock.
+func sinceBoot() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err)
+	}
+	return Millis(ts.Nano() / int64(time.Millisecond))
 }
 
 // After returns a channel that receives once, d from now.
@@ -81,6 +97,9 @@
 	return fa.now
 }
 
+// TimeOfDay returns the moment the clock stands at.
+func (fa *Fake) TimeOfDay() Millis { return fa.Now() }
+
 // After returns a channel that receives once the clock has been moved by d.
 func (fa *Fake) After(d Millis) <-chan struct{} {
 	fa.mu.Lock()
--- a/shared/identifier/identifier.go
+++ b/shared/identifier/identifier.go
@@ -39,6 +39,12 @@
 	Instance string
 	// Target names a runner or a worker.
 	Target string
+	// Queue names a queue of jobs.
+	Queue string
+	// Pool names a pool of workers that serve the same queues.
+	Pool string
+	// Label is a property of a worker that a task may require.
+	Label string
 )
 
 // NewRequest returns a random request id.
--- a/shared/problem/kinds.go
+++ b/shared/problem/kinds.go
@@ -26,6 +26,7 @@
 	BadRow            Kind = "badRow"
 	GuaranteeTooLarge Kind = "guaranteeTooLarge"
 	ImpossibleJob     Kind = "impossibleJob"
+	UnknownJob        Kind = "unknownJob"
 	JobNotEnded       Kind = "jobNotEnded"
 	JobCancelled      Kind = "jobCancelled"
 	JobFailed         Kind = "jobFailed"
@@ -75,6 +76,7 @@
 	BadRow:            {"The row is not valid", "correct the cell that is named and set the row again", NoOutcome},
 	GuaranteeTooLarge: {"The guarantees cannot all be honoured at once", "lower a guarantee of this row or of another, or add workers; try it first with: wagtailcroft table set --dry-run", NoOutcome},
 	ImpossibleJob:     {"The job can never run", "submit a smaller shape, or one with a looser adjacency", NotRun},
+	UnknownJob:        {"There is no such job", "check the id; ended jobs are kept for a limited time", NoOutcome},
 	JobNotEnded:       {"The job has not ended", "wait for it: get the job with waitMillis", NoOutcome},
 	JobCancelled:      {"The job was cancelled", "submit it again with a new key", NoOutcome},
 	JobFailed:         {"The job failed after it was started", "look at the reason; submit it again with a new key", Failed},
--- /dev/null
+++ b/wagtailcroftd/conductor/conductor.go
@@ -0,0 +1,101 @@
+// Package conductor decides for all workers while this instance holds the duty: it keeps
+// the jobs and the workers, plans, records each plan in the store, and only then gives the
+// orders. What is recorded suffices for the next holder to go on.
+package conductor
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+)
+
+type (
+	// Store is what the conductor needs of the table service.
+	Store interface {
+		Write(ctx context.Context, tr rowstore.Transaction) (meter.RowVersion, error)
+		Read(ctx context.Context, ta rowstore.Table, from, to string, limit int) (rowstore.Page, error)
+		Follow(ctx context.Context, ta rowstore.Table, after meter.RowVersion, wait clock.Millis) (rowstore.Page, error)
+		Reset()
+	}
+
+	// Workers carries orders. Errors are those of package fleet.
+	Workers interface {
+		Start(ctx context.Context, to fleet.Target, or fleet.StartOrder) (fleet.Status, error)
+		Stop(ctx context.Context, to fleet.Target, or fleet.StopOrder) (fleet.Status, error)
+		Hold(ctx context.Context, to fleet.Target, or fleet.HoldOrder) (fleet.Status, error)
+		Reset(to fleet.Target)
+		Forget(address string)
+	}
+
+	// Policies gives the newest known configuration, or nil before there is one.
+	Policies interface {
+		Current() *policy.Policy
+	}
+
+	// Clock also tells the time of day, at which repeated jobs come due.
+	Clock interface {
+		clock.Clock
+		TimeOfDay() clock.Millis
+	}
+
+	// Reports is where the workers report and how a report is read.
+	Reports struct {
+		Table  rowstore.Table
+		Decode func(name string, value []byte) (fleet.Report, error)
+	}
+
+	// Options are the settings of a conductor.
+	Options struct {
+		Instance    identifier.Instance
+		Incarnation string
+		// Lease is the length of the leases of runs.
+		Lease clock.Millis
+		// Takeover is the time without a renewal after which the duty is taken.
+		Takeover clock.Millis
+		// StopGrace is the longest time that a stopped run takes to end.
+		StopGrace clock.Millis
+		// Retention is how long ended jobs are kept.
+		Retention clock.Millis
+	}
+
+	// Parts are what a conductor works with.
+	Parts struct {
+		Store    Store
+		Workers  Workers
+		Policies Policies
+		Reports  Reports
+		Clock    Clock
+		Log      zerolog.Logger
+	}
+
+	// Conductor takes the duty when it is free and decides while it holds it.
+	Conductor struct {
+		Parts
+		op Options
+	}
+)
+
+// New returns a conductor that does nothing until Run.
+func New(pa Parts, op Options) *Conductor { return &Conductor{Parts: pa, op: op} }
+
+// Run takes part until ctx ends; then it gives the duty up within the bound of last.
+func (co *Conductor) Run(ctx, last context.Context) {
+	for ctx.Err() == nil {
+		du := newDuty(co.Store, co.Clock, co.Log, co.op.Instance, co.op.Incarnation, co.op.Takeover)
+		if !du.acquire(ctx) {
+			return
+		}
+		te := newTerm(co, du)
+		te.run(ctx)
+		if ctx.Err() != nil && !te.lost.Load() {
+			du.release(last)
+		}
+	}
+}
--- /dev/null
+++ b/wagtailcroftd/conductor/round.go
@@ -0,0 +1,170 @@
+package conductor
+
+import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+const (
+	// evacuateSlack is the time, beyond that of a stop, that must be left for a run on a
+	// leaving worker to save its progress.
+	evacuateSlack = 800 * clock.Millis(1)
+	// retryDelay holds a job back after one of its runs failed, for a failure that lasts
+	// only a moment.
+	retryDelay = 300 * clock.Millis(1)
+	// failuresTrusted is the number of failed calls in a row from which a worker gets no
+	// new work.
+	failuresTrusted = 1
+)
+
+// rounds plans, records and orders until the term ends.
+func (te *term) rounds() {
+	for te.ctx.Err() == nil {
+		select {
+		case <-te.ctx.Done():
+			return
+		case <-te.wake:
+		case <-te.Clock.After(roundEvery):
+		}
+		te.mu.Lock()
+		te.plan()
+		ba := te.batch()
+		te.mu.Unlock()
+		if !te.commit(ba) {
+			return
+		}
+		te.mu.Lock()
+		te.dispatch()
+		te.mu.Unlock()
+		clock.Sleep(te.ctx, te.Clock, roundGap)
+	}
+}
+
+// plan brings the jobs up to date and decides what starts and what stops.
+func (te *term) plan() {
+	now := te.Clock.Now()
+	po := te.Policies.Current()
+	if !te.loaded || po == nil {
+		return
+	}
+	te.lapse(now)
+	te.evacuate(now)
+	in := te.input(po, now)
+	pl := planner.New(in)
+	for _, sp := range pl.Stops {
+		te.applyStop(sp)
+	}
+	for _, st := range pl.Starts {
+		te.applyStart(st, now)
+	}
+}
+
+// lapse ends the runs whose leases have certainly expired.
+func (te *term) lapse(now clock.Millis) {
+	for _, wo := range te.workers {
+		if len(wo.runs) > 0 && te.lapsed(wo, now) {
+			te.log.Warn().Str("worker", string(wo.id)).Int("runs", len(wo.runs)).Bool("met", wo.met).
+				Int64("silentMillis", int64(now-wo.clockAt)).Msg("leasesLapsed")
+			for key, pl := range wo.runs {
+				te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndLapsed})
+			}
+		}
+		if !wo.reported && len(wo.runs)+len(wo.strays) == 0 && wo.applied == wo.told && !wo.looking {
+			te.Workers.Forget(wo.report.Address)
+			delete(te.workers, wo.id)
+		}
+	}
+}
+
+// evacuate stops the runs on leaving workers while there is time to save their progress.
+func (te *term) evacuate(now clock.Millis) {
+	for _, wo := range te.workers {
+		if !wo.report.Draining || now < wo.leavesAt-te.op.StopGrace-evacuateSlack {
+			continue
+		}
+		for key := range wo.runs {
+			if st, ta := te.jobs[key.Job].job.Task(key); ta.Phase != workload.Stopping {
+				te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).
+					Int64("leavesInMillis", int64(wo.leavesAt-now)).Msg("runEvacuated")
+				te.jobs[key.Job].job.StopTask(st, ta)
+				te.jobs[key.Job].dirty = true
+			}
+		}
+	}
+}
+
+// input is what the planner needs.
+func (te *term) input(po *policy.Policy, now clock.Millis) planner.Input {
+	in := planner.Input{
+		Now:        now,
+		Queues:     make(map[identifier.Queue]planner.Queue, len(po.Queues)),
+		Guarantees: make(map[identifier.Workspace]meter.Accelerators, len(po.Workspaces)),
+		NotBefore:  map[identifier.Job]clock.Millis{},
+		Waited:     func(id identifier.Job) clock.Millis { return now - te.jobs[id].arrived },
+	}
+	for i := range po.Queues {
+		qu := &po.Queues[i]
+		in.Queues[qu.Name] = planner.Queue{Pool: qu.Pool, Priority: qu.Priority, Attempts: qu.Attempts}
+	}
+	for _, ws := range po.Workspaces {
+		in.Guarantees[ws.Name] = ws.Guaranteed
+	}
+	timeOfDay := te.Clock.TimeOfDay()
+	for _, en := range te.sorted() {
+		if !en.job.State.Final() && en.job.Due(timeOfDay) > 0 && len(en.job.Stages) == 0 {
+			continue
+		}
+		in.Jobs = append(in.Jobs, en.job)
+	}
+	for _, wo := range te.workers {
+		if wo.reported || len(wo.runs) > 0 {
+			in.Workers = append(in.Workers, te.planned(wo, now))
+		}
+	}
+	return in
+}
+
+// planned is a worker as the planner sees it.
+func (te *term) planned(wo *worker, now clock.Millis) planner.Worker {
+	pw := planner.Worker{
+		ID: wo.id, Life: wo.report.Life, Pool: wo.report.Pool, Zone: wo.report.Zone, Rack: wo.report.Rack,
+		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
+		Usable: wo.reported && wo.met && !wo.report.Draining && wo.failures < failuresTrusted && now >= wo.blocked,
+	}
+	for key := range wo.strays {
+		if en := te.jobs[key.Job]; en != nil {
+			if st, _ := en.job.Task(key); st != nil {
+				pw.Capacity = pw.Capacity.Sub(en.job.StepOf(st).Reserved())
+				continue
+			}
+		}
+		pw.Usable = false // the room of an unknown run is not known
+	}
+	return pw
+}
+
+func (te *term) applyStop(sp planner.Stop) {
+	ta := &sp.Stage.Tasks[sp.Index]
+	te.log.Info().Str("task", sp.Job.Key(sp.Stage, sp.Index).String()).Int64("run", int64(ta.Run)).Str("for", string(sp.For)).
+		Int64("ranMillis", int64(te.Clock.Now()-ta.Since)).Msg("runPreempted")
+	sp.Job.StopTask(sp.Stage, ta)
+	te.jobs[sp.Job.ID].dirty = true
+}
+
+func (te *term) applyStart(st planner.Start, now clock.Millis) {
+	gang := st.Job.StepOf(st.Stage).Gang
+	run := st.Stage.NextRun(st.Places[0].Index, gang)
+	for _, pl := range st.Places {
+		ta := &st.Stage.Tasks[pl.Index]
+		ta.Phase, ta.Run, ta.Worker, ta.Life, ta.Since = workload.Starting, run, pl.Worker, pl.Life, now
+		key := st.Job.Key(st.Stage, pl.Index)
+		te.workers[pl.Worker].runs[key] = &placement{run: run, life: pl.Life, placed: now}
+		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
+			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].arrived)).Msg("runPlanned")
+	}
+	te.jobs[st.Job.ID].dirty = true
+}
--- /dev/null
+++ b/wagtailcroftd/intake/intake.go
@@ -0,0 +1,215 @@
+// Package intake answers the calls about step jobs on any instance: it stores what is
+// accepted, and says what the store says. It needs no holder of the duty.
+package intake
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/locker"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
+)
+
+const (
+	// retryAfter is told with a refusal: the store is tried again twice within it.
+	retryAfter = clock.Second
+	// outagePause is how long callers are refused at once after the store has failed,
+	// before one of them tries it again.
+	outagePause = 250 * clock.Millis(1)
+	// tallyAge is how old a count of waiting jobs may be, of the 2 s that the platform allows.
+	tallyAge = 400 * clock.Millis(1)
+	// firstTry bounds the first try of a call to the store, which answers within 10 ms as a
+	// rule; each further try may take three times as long as the one before.
+	firstTry = 300 * clock.Millis(1)
+	tryRise  = 3
+	// retryPause lies between two tries.
+	retryPause = 30 * clock.Millis(1)
+)
+
+type (
+	// Store is what the intake needs of the table service.
+	Store interface {
+		Write(ctx context.Context, tr rowstore.Transaction) (meter.RowVersion, error)
+		Read(ctx context.Context, ta rowstore.Table, from, to string, limit int) (rowstore.Page, error)
+		Reset()
+	}
+
+	// Policies gives the configuration in force.
+	Policies interface {
+		Current() *policy.Policy
+		Confirmed() clock.Millis
+		Apply(row rowstore.Row)
+	}
+
+	// Clock also tells the time of day, which stamps what is accepted.
+	Clock interface {
+		clock.Clock
+		TimeOfDay() clock.Millis
+	}
+
+	// Intake answers calls.
+	Intake struct {
+		store    Store
+		policies Policies
+		// policyKey is the row of the configuration, on which every write is conditioned.
+		policyKey rowstore.Key
+		cl        Clock
+		log       zerolog.Logger
+		// unconfirmed is the age of the configuration from which callers are refused.
+		unconfirmed clock.Millis
+
+		mu locker.Mutex
+		// failedAt is when the store last failed; 0 means that the last call succeeded.
+		failedAt clock.Millis
+		tally    ledger.Tally
+		// talliedAt is when the tally was asked for; 0 means never.
+		talliedAt clock.Millis
+	}
+
+	// Options are the settings of an intake.
+	Options struct {
+		PolicyKey   rowstore.Key
+		Unconfirmed clock.Millis
+	}
+)
+
+// New returns an intake.
+func New(st Store, po Policies, cl Clock, log zerolog.Logger, op Options) *Intake {
+	return &Intake{
+		store: st, policies: po, policyKey: op.PolicyKey, cl: cl, log: log, unconfirmed: op.Unconfirmed,
+		mu: locker.New(locker.RankAdmission),
+	}
+}
+
+// Access resolves a call by the configuration in force. Errors are of the kinds
+// Unconfirmed, NotFound and BadToken.
+func (in *Intake) Access(host, path, key string) (policy.Access, error) {
+	po := in.policies.Current()
+	if po == nil {
+		return policy.Access{}, problem.New(problem.Unconfirmed, "no configuration has been read yet").Retry(retryAfter)
+	}
+	if age := in.cl.Now() - in.policies.Confirmed(); age > in.unconfirmed {
+		return policy.Access{}, problem.New(problem.Unconfirmed, "the configuration was last confirmed %d ms ago", age).Retry(retryAfter)
+	}
+	return po.Access(host, path, key)
+}
+
+// Ready reports whether this instance can serve calls now.
+func (in *Intake) Ready() bool {
+	return in.policies.Current() != nil && in.cl.Now()-in.policies.Confirmed() <= in.unconfirmed && !in.failing()
+}
+
+// Submit stores a job. A job that is stored already counts as accepted. Errors of the
+// outcome NotRun are certain: the job is not stored and will not be.
+func (in *Intake) Submit(ctx context.Context, ac policy.Access, jo *workload.Job) error {
+	if in.failing() {
+		return problem.New(problem.StoreUnavailable, "the store has just failed").Say(problem.NotRun).Retry(retryAfter)
+	}
+	jo.Queue, jo.Workspace, jo.Accepted = ac.Queue.Name, ac.Workspace, in.cl.TimeOfDay()
+	jobs, ended := recorder.JobKey(recorder.Jobs, jo.ID), recorder.JobKey(recorder.Ended, jo.ID)
+	tr := rowstore.Transaction{
+		Expect: []rowstore.Expectation{{Key: in.policyKey, Version: ac.Version}, {Key: jobs}, {Key: ended}},
+		Puts: []rowstore.Put{
+			{Key: recorder.JobKey(recorder.Submissions, jo.ID), Value: recorder.Encode(recorder.Submission(jo))},
+			{Key: jobs, Value: recorder.Encode(ledger.Progress{State: ledger.ProgressState(workload.Queued.String())})},
+		},
+	}
+	err := in.write(ctx, tr)
+	var conflict *rowstore.Conflict
+	if eris.As(err, &conflict) {
+		if conflict.Row(jobs).Version > 0 || conflict.Row(ended).Version > 0 {
+			in.log.Info().Str("job", string(jo.ID)).Str("outcome", "known").Msg("jobSubmitted")
+			return nil
+		}
+		return in.changed(conflict)
+	}
+	in.log.Info().Str("job", string(jo.ID)).Str("queue", string(jo.Queue)).Str("workspace", string(jo.Workspace)).
+		Int64("policy", int64(ac.Version)).AnErr("refusal", err).Msg("jobSubmitted")
+	return err
+}
+
+// changed takes a newer configuration from a conflict; the call is to be resolved again.
+func (in *Intake) changed(co *rowstore.Conflict) error {
+	row := co.Row(in.policyKey)
+	if row.Version > 0 {
+		in.policies.Apply(row)
+	}
+	return problem.New(problem.Conflict, "the configuration has changed to version %d", row.Version).Say(problem.NotRun).Retry(retryAfter)
+}
+
+// State tells the state of a job. Errors are of the kinds UnknownJob, which is certain,
+// and StoreUnavailable.
+func (in *Intake) State(ctx context.Context, ac policy.Access, id identifier.Job) (workload.State, error) {
+	for _, table := range []rowstore.Table{recorder.Jobs, recorder.Ended} {
+		row, err := in.read(ctx, recorder.JobKey(table, id))
+		if err != nil {
+			return 0, err
+		}
+		if row.Version == 0 {
+			continue
+		}
+		pr, err := recorder.Decode[ledger.Progress](row)
+		if err != nil {
+			return 0, err
+		}
+		return recorder.State(pr.State)
+	}
+	in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Msg("jobUnknown")
+	return 0, problem.New(problem.UnknownJob, "the store holds no job %s", id)
+}
+
+// Cancel records that a caller withdraws a job. A job that has ended stays as it is.
+func (in *Intake) Cancel(ctx context.Context, ac policy.Access, id identifier.Job) error {
+	row, err := in.read(ctx, recorder.JobKey(recorder.Jobs, id))
+	if err != nil {
+		return err
+	}
+	if row.Version == 0 {
+		_, err := in.State(ctx, ac, id)
+		return err
+	}
+	err = in.write(ctx, rowstore.Transaction{
+		Expect: []rowstore.Expectation{{Key: in.policyKey, Version: ac.Version}},
+		Puts:   []rowstore.Put{{Key: recorder.JobKey(recorder.Cancels, id), Value: recorder.Encode(ledger.Cancellation{At: in.cl.TimeOfDay()})}},
+	})
+	var conflict *rowstore.Conflict
+	if eris.As(err, &conflict) {
+		return in.changed(conflict)
+	}
+	in.log.Info().Str("job", string(id)).AnErr("refusal", err).Msg("cancelAsked")
+	return err
+}
+
+// Pending counts the queue's jobs of which no task has started.
+func (in *Intake) Pending(ctx context.Context, ac policy.Access) (int, error) {
+	now := in.cl.Now()
+	in.mu.Lock()
+	tally, age := in.tally, now-in.talliedAt
+	in.mu.Unlock()
+	if age <= tallyAge {
+		return tally.Queues[string(ac.Queue.Name)], nil
+	}
+	row, err := in.read(ctx, recorder.TallyKey)
+	if err != nil {
+		return 0, err
+	}
+	if row.Version > 0 {
+		if tally, err = recorder.Decode[ledger.Tally](row); err != nil {
+			return 0, err
+		}
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.tally, in.talliedAt = tally, now
+	return tally.Queues[string(ac.Queue.Name)], nil
+}
--- a/wagtailcroftd/main.go
+++ b/wagtailcroftd/main.go
@@ -10,7 +10,7 @@
 
 const help = "An entry instance of wagtailcroft: serves callers and operators, routes requests, schedules gangs."
 
-var commands = []commander.Command{cmdServe, cmdCheckSettings, cmdVersion}
+var commands = []commander.Command{cmdServe, cmdSchedule, cmdCheckSettings, cmdVersion}
 
 func main() {
 	if err := commander.Run("wagtailcroftd", help, commands, os.Args[1:]); err != nil {
--- /dev/null
+++ b/wagtailcroftd/recorder/recorder.go
@@ -0,0 +1,198 @@
+// Package recorder knows the rows of step jobs: their tables, and how a job is written
+// into them and read back.
+package recorder
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+)
+
+// The tables of step jobs. schema/ledger.yaml describes their rows.
+const (
+	Duty        rowstore.Table = "duty"
+	Submissions rowstore.Table = "submissions"
+	Jobs        rowstore.Table = "jobs"
+	Ended       rowstore.Table = "ended"
+	Cancels     rowstore.Table = "cancels"
+	Tallies     rowstore.Table = "tallies"
+)
+
+const bitsPerByte = 8
+
+// DutyKey is the row of the holder.
+var DutyKey = rowstore.Key{Table: Duty, Name: "scheduler"}
+
+// TallyKey is the row of the counts of unstarted jobs.
+var TallyKey = rowstore.Key{Table: Tallies, Name: "pending"}
+
+// JobKey is the row of a job in one of the tables.
+func JobKey(ta rowstore.Table, id identifier.Job) rowstore.Key {
+	return rowstore.Key{Table: ta, Name: string(id)}
+}
+
+// Encode writes a row's value. It cannot fail on the types of package ledger.
+func Encode(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// Decode reads a row's value.
+func Decode[T any](row rowstore.Row) (T, error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, eris.Wrapf(err, "the row %s of %s cannot be read; it was written by another program or version", row.Name, row.Table)
+	}
+	return value, nil
+}
+
+// Submission describes a job as it was accepted.
+func Submission(jo *workload.Job) ledger.Submission {
+	su := ledger.Submission{
+		Queue: string(jo.Queue), Workspace: jo.Workspace, Payload: jo.Payload, AcceptedAt: jo.Accepted,
+		FirstDue: jo.FirstDue, Interval: jo.Interval, Occurrences: jo.Occurrences,
+	}
+	for i := range jo.Steps {
+		su.Steps = append(su.Steps, encodeStep(&jo.Steps[i]))
+	}
+	return su
+}
+
+func encodeStep(st *workload.Step) ledger.Step {
+	return ledger.Step{
+		Count: st.Count, CPU: int64(st.Need.CPU), Memory: int64(st.Need.Memory), Accelerators: st.Need.Accelerators,
+		Estimate: st.Estimate, After: st.After, Gang: st.Gang, SameRack: st.SameRack, Requires: string(st.Requires),
+		DataRack: st.DataRack, Spread: st.Spread, Checkpoints: st.Checkpoints, Duplicates: st.Duplicates,
+		Lasting: st.Lasting, Fills: st.Fills, Image: st.Image, TailTarget: st.TailTarget, MaxUnavailable: st.MaxUnavailable,
+	}
+}
+
+func decodeStep(st ledger.Step) workload.Step {
+	return workload.Step{
+		Count:    st.Count,
+		Need:     workload.Room{CPU: meter.MilliCores(st.CPU), Memory: meter.Mebibytes(st.Memory), Accelerators: st.Accelerators},
+		Estimate: st.Estimate, After: st.After, Gang: st.Gang, SameRack: st.SameRack, Requires: identifier.Label(st.Requires),
+		DataRack: st.DataRack, Spread: st.Spread, Checkpoints: st.Checkpoints, Duplicates: st.Duplicates,
+		Lasting: st.Lasting, Fills: st.Fills, Image: st.Image, TailTarget: st.TailTarget, MaxUnavailable: st.MaxUnavailable,
+	}
+}
+
+// Progress describes how far a job is. Tasks that were never started take no space.
+func Progress(jo *workload.Job, endedAt clock.Millis) ledger.Progress {
+	pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Reason: jo.Reason, EndedAt: endedAt}
+	pr.Occurrences = len(jo.Stages) / len(jo.Steps)
+	for at, sg := range jo.Stages {
+		if out := encodeStage(sg); out != nil {
+			out.At = at
+			pr.Stages = append(pr.Stages, *out)
+		}
+	}
+	return pr
+}
+
+// encodeStage returns nil for a stage of which no task was started.
+func encodeStage(sg *workload.Stage) *ledger.Stage {
+	out := &ledger.Stage{Failures: sg.Failures, FailedRun: int64(sg.FailedRun)}
+	touched := false
+	for i := range sg.Tasks {
+		ta := &sg.Tasks[i]
+		switch {
+		case ta.Phase == workload.Done:
+			touched = true
+			out.Done = setBit(out.Done, i)
+		case ta.Run > 0:
+			touched = true
+			out.Tasks = append(out.Tasks, ledger.Task{
+				Index: i, Phase: int(ta.Phase), Run: int64(ta.Run), Worker: ta.Worker, Life: int64(ta.Life),
+				Failures: ta.Failures, Saved: ta.Saved,
+			})
+		}
+	}
+	if !touched {
+		return nil
+	}
+	return out
+}
+
+func setBit(bits []byte, at int) []byte {
+	for len(bits) <= at/bitsPerByte {
+		bits = append(bits, 0)
+	}
+	bits[at/bitsPerByte] |= 1 << (at % bitsPerByte)
+	return bits
+}
+
+func hasBit(bits []byte, at int) bool {
+	return at/bitsPerByte < len(bits) && bits[at/bitsPerByte]&(1<<(at%bitsPerByte)) != 0
+}
+
+// Job reads a job back from its two rows.
+func Job(id identifier.Job, su ledger.Submission, pr ledger.Progress) (*workload.Job, error) {
+	jo := &workload.Job{
+		ID: id, Queue: identifier.Queue(su.Queue), Workspace: su.Workspace, Payload: su.Payload, Accepted: su.AcceptedAt,
+		FirstDue: su.FirstDue, Interval: su.Interval, Occurrences: su.Occurrences, Reason: pr.Reason,
+	}
+	for _, st := range su.Steps {
+		jo.Steps = append(jo.Steps, decodeStep(st))
+	}
+	if len(jo.Steps) == 0 || jo.Occurrences < 1 || pr.Occurrences > jo.Occurrences {
+		return nil, eris.Errorf("the job %s has no steps or no occurrences; its rows were not written by this program", id)
+	}
+	state, err := State(pr.State)
+	if err != nil {
+		return nil, err
+	}
+	jo.State = state
+	if pr.Occurrences > 0 {
+		jo.Due(jo.DueAt(pr.Occurrences - 1))
+	}
+	for _, sg := range pr.Stages {
+		if err := decodeStage(jo, sg); err != nil {
+			return nil, err
+		}
+	}
+	return jo, nil
+}
+
+func decodeStage(jo *workload.Job, in ledger.Stage) error {
+	if in.At < 0 || in.At >= len(jo.Stages) {
+		return eris.Errorf("the job %s has no stage %d; its rows were not written by this program", jo.ID, in.At)
+	}
+	sg := jo.Stages[in.At]
+	sg.Failures, sg.FailedRun = in.Failures, meter.RunNumber(in.FailedRun)
+	for i := range sg.Tasks {
+		if hasBit(in.Done, i) {
+			sg.Tasks[i].Phase = workload.Done
+		}
+	}
+	for _, ta := range in.Tasks {
+		if ta.Index < 0 || ta.Index >= len(sg.Tasks) {
+			return eris.Errorf("the job %s has no task %d in stage %d; its rows were not written by this program", jo.ID, ta.Index, in.At)
+		}
+		sg.Tasks[ta.Index] = workload.Task{
+			Phase: workload.Phase(ta.Phase), Run: meter.RunNumber(ta.Run), Worker: ta.Worker, Life: workload.Life(ta.Life),
+			Failures: ta.Failures, Saved: ta.Saved,
+		}
+	}
+	return nil
+}
+
+// State reads the name of a state.
+func State(name ledger.ProgressState) (workload.State, error) {
+	for st := workload.Queued; st <= workload.Cancelled; st++ {
+		if st.String() == string(name) {
+			return st, nil
+		}
+	}
+	return 0, eris.Errorf("the state %q is not known; the row was written by a newer version", name)
+}
