Keep runs of a former holder alive and stop them by order

Cause: (1) on first meeting a worker, a new holder knew no lease and took all of its runs as lapsed; (2) a run that a former holder had started, once stopped, was taken as never sent, so that its task started elsewhere while it ran on; (3) a standby saw a missing renewal up to 1 s late.

Ruled out: late orders (the logs show no unanswered start before the first double run) and lease arithmetic (the first double run came 100 ms after the takeover).

Change: a first meeting counts with a full lease; a placement remembers whether a start may have been ordered by anyone; a standby waits no longer than the takeover.

--- a/shared/logger/logger.go
+++ b/shared/logger/logger.go
@@ -47,6 +47,9 @@
 // value quotes what could be taken for more than one word.
 func value(val any) string {
 	text := fmt.Sprint(val)
+	if raw, ok := val.([]byte); ok {
+		text = string(raw) // zerolog passes what is neither text nor number as JSON
+	}
 	if strings.ContainsAny(text, " =\"\n") && !strings.HasPrefix(text, `"`) {
 		return strconv.Quote(text)
 	}
--- a/wagtailcroftd/conductor/duty.go
+++ b/wagtailcroftd/conductor/duty.go
@@ -87,9 +87,13 @@
 		du.holder, du.version = nil, 0
 		return du.apply(page)
 	}
-	bound, cancel := du.cl.Bound(ctx, watchWait+writeTimeout)
+	wait := watchWait
+	if du.unchanged > 0 {
+		wait = min(wait, max(du.unchanged+du.takeover-du.cl.Now(), 1))
+	}
+	bound, cancel := du.cl.Bound(ctx, wait+writeTimeout)
 	defer cancel()
-	page, err := du.store.Follow(bound, recorder.Duty, du.after, watchWait)
+	page, err := du.store.Follow(bound, recorder.Duty, du.after, wait)
 	if eris.Is(err, rowstore.ErrCompacted) {
 		du.after = 0
 		return nil
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -57,8 +57,8 @@
 	_, ta := te.jobs[key.Job].job.Task(key)
 	switch {
 	case ta.Phase == workload.Stopping && pl.stopped == 0:
-		if pl.recorded && pl.tries == 0 && !pl.unanswered {
-			te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped}) // never sent
+		if !pl.ordered {
+			te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
 			return
 		}
 		te.submitStop(wo, key, pl)
@@ -80,7 +80,7 @@
 		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.holder.Fence, Saved: ta.Saved,
 	}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
-	pl.busy, pl.unanswered = true, true
+	pl.busy, pl.ordered, pl.unanswered = true, true, true
 	pl.tries++
 	if err := te.orders.Submit(false, func() { te.start(wo, key, pl, to, or) }); err != nil {
 		pl.busy = false
@@ -274,6 +274,10 @@
 		wo.report.Life = st.Life
 		wo.clock, wo.clockAt = st.Clock, now
 	}
+	if !wo.met {
+		// A former holder may have given any lease, which the worker cuts to the full length.
+		wo.leaseEnd = max(wo.leaseEnd, st.Clock+te.op.Lease)
+	}
 	wo.met, wo.heldAt = true, sent
 	wo.told = max(wo.told, or.Seen)
 	for _, en := range st.Ended {
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -75,6 +75,8 @@
 		after clock.Millis
 		// tries counts the start orders that were sent.
 		tries int
+		// ordered means that a start was ordered, by this holder or perhaps a former one.
+		ordered bool
 		// unanswered means that a start order without an answer may still be carried out.
 		unanswered bool
 		// started is when the worker confirmed the run; 0 means not yet.
@@ -101,7 +103,7 @@
 
 // expect notes a run that the rows place on the worker.
 func (wo *worker) expect(key workload.TaskKey, ta *workload.Task) {
-	wo.runs[key] = &placement{run: ta.Run, life: ta.Life, recorded: true, unanswered: true, placed: ta.Since}
+	wo.runs[key] = &placement{run: ta.Run, life: ta.Life, recorded: true, ordered: true, unanswered: true, placed: ta.Since}
 }
 
 // now estimates the worker's clock.
