--- a/decisions/planner/preempt.go
+++ b/decisions/planner/preempt.go
@@ -32,9 +32,9 @@
 )
 
 // preempt stops the runs of higher rank that free room for the candidate at the least
-// loss, and keeps the room.
-func (ro *round) preempt(ca candidate, count int) {
-	groups := [][]*slot{ro.allowed(ca)}
+// loss, and keeps the room. It reports whether that is possible.
+func (ro *round) preempt(ca candidate, slots []*slot, count int) bool {
+	groups := [][]*slot{slots}
 	if ca.step.SameRack && count > 1 {
 		groups = append(racks(groups[0]), groups[0])
 	}
@@ -44,15 +44,16 @@
 		if best != nil && i == len(groups)-1 {
 			break // several racks only where no single one will do
 		}
-		if vi, slots := ro.evict(ca, group, count); vi != nil && (best == nil || vi.cost < best.cost) {
-			best, found = vi, slots
+		if vi, places := ro.evict(ca, group, count); vi != nil && (best == nil || vi.cost < best.cost) {
+			best, found = vi, places
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	ro.stop(ca, best)
 	ro.keep(ca, found)
+	return true
 }
 
 // evict finds room for all tasks within the slots, and the units that have to go.
@@ -146,7 +147,7 @@
 		if (un.index >= 0 && i != un.index) || (ta.Phase != workload.Starting && ta.Phase != workload.Running) {
 			continue
 		}
-		if sl := ro.byID[ta.Worker]; sl != nil && sl.worker.Life == ta.Life {
+		if sl := ro.byID[ta.Worker]; sl != nil {
 			if room, within := left[sl]; within {
 				left[sl] = room.Add(need)
 			}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -68,10 +68,11 @@
 	return ro
 }
 
-// occupy takes the room of a run. Runs of a former life of the worker take none.
+// occupy takes the room of a run, also where it was ordered from a former life of the
+// worker: the present one may have carried the order out.
 func (ro *round) occupy(ru run, ta *workload.Task) {
 	sl := ro.byID[ta.Worker]
-	if sl == nil || sl.worker.Life != ta.Life {
+	if sl == nil {
 		return
 	}
 	need := ru.job.StepOf(ru.stage).Reserved()
@@ -84,27 +85,29 @@
 
 // serve places a candidate now, or keeps the room that will be free for it, or makes room.
 func (ro *round) serve(ca candidate) {
-	if !ca.step.Gang {
-		for _, index := range ca.indexes {
-			ro.serveTasks(ca, []int{index})
-		}
+	if ca.step.Gang {
+		ro.serveTasks(ca, ca.indexes)
 		return
 	}
-	ro.serveTasks(ca, ca.indexes)
+	for i := range ca.indexes {
+		if !ro.serveTasks(ca, ca.indexes[i:i+1]) {
+			return // the others are equal
+		}
+	}
 }
 
-func (ro *round) serveTasks(ca candidate, indexes []int) {
-	if found := ro.find(ca, len(indexes), free); found != nil {
+// serveTasks reports whether there is or will be room for the tasks.
+func (ro *round) serveTasks(ca candidate, indexes []int) bool {
+	slots := ro.allowed(ca, indexes)
+	if found := ro.find(ca, slots, len(indexes), free); found != nil {
 		ro.start(ca, indexes, found)
-		return
+		return true
 	}
-	if found := ro.find(ca, len(indexes), freeSoon); found != nil {
+	if found := ro.find(ca, slots, len(indexes), freeSoon); found != nil {
 		ro.keep(ca, found)
-		return
-	}
-	if ca.queue.Priority == 0 {
-		ro.preempt(ca, len(indexes))
+		return true
 	}
+	return ca.queue.Priority == 0 && ro.preempt(ca, slots, len(indexes))
 }
 
 // start plans new runs.
@@ -131,8 +134,7 @@
 func freeSoon(sl *slot) workload.Room { return sl.soon }
 
 // find returns a slot for each of count equal tasks, or nil if they do not all fit.
-func (ro *round) find(ca candidate, count int, view func(*slot) workload.Room) []*slot {
-	slots := ro.allowed(ca)
+func (ro *round) find(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
 	if rack := ca.step.DataRack; rack != "" {
 		if found := pack(ca, onRack(slots, rack), count, view); found != nil {
 			return found
@@ -162,9 +164,11 @@
 	return ro.in.Waited(ca.job.ID) < most
 }
 
-// allowed lists the slots that may run the candidate's tasks.
-func (ro *round) allowed(ca candidate) []*slot {
+// allowed lists the slots that may run the tasks: not those where the last run of one of
+// them failed, unless there is no other.
+func (ro *round) allowed(ca candidate, indexes []int) []*slot {
 	slots := make([]*slot, 0, len(ro.slots))
+	var failed []*slot
 	for _, sl := range ro.slots {
 		wo := sl.worker
 		if !wo.Usable || wo.Pool != ca.queue.Pool || !wo.Capacity.Fits(ca.step.Reserved()) {
@@ -173,8 +177,15 @@
 		if ca.step.Requires != "" && !slices.Contains(wo.Labels, ca.step.Requires) {
 			continue
 		}
+		if slices.ContainsFunc(indexes, func(i int) bool { return ca.stage.Tasks[i].FailedOn == wo.ID }) {
+			failed = append(failed, sl)
+			continue
+		}
 		slots = append(slots, sl)
 	}
+	if len(slots) == 0 {
+		return failed
+	}
 	return slots
 }
 
--- a/decisions/workload/changes.go
+++ b/decisions/workload/changes.go
@@ -62,6 +62,7 @@
 func (jo *Job) failed(st *Stage, ta *Task, attempts int) {
 	step := jo.StepOf(st)
 	ta.Failures++
+	ta.FailedOn = ta.Worker
 	count := ta.Failures
 	if step.Gang {
 		if st.failedRun(ta) {
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -155,6 +155,8 @@
 		Failures int
 		// Saved is the newest checkpoint; empty means none.
 		Saved string
+		// FailedOn is where the last run of the task failed; it is not stored.
+		FailedOn identifier.Worker
 		// Since is when the run was placed, on the scheduler's own clock; it is not stored.
 		Since clock.Millis
 		// Progress is what the worker last reported; it is not stored.
--- a/shared/clock/clock.go
+++ b/shared/clock/clock.go
@@ -41,6 +41,10 @@
 		booted Millis
 	}
 
+	// Runtime is the clock of the Go runtime, which testing/synctest replaces. It stands
+	// still while the machine is suspended.
+	Runtime struct{ System }
+
 	// Fake is a clock that moves when it is told to.
 	Fake struct {
 		mu sync.Mutex
@@ -87,6 +91,12 @@
 	return context.WithTimeout(ctx, d.Duration())
 }
 
+// NewRuntime returns the clock of the Go runtime.
+func NewRuntime() *Runtime { return &Runtime{} }
+
+// Now returns milliseconds since the Unix epoch.
+func (*Runtime) Now() Millis { return Millis(time.Now().UnixMilli()) }
+
 // NewFake returns a clock that stands at start.
 func NewFake(start Millis) *Fake { return &Fake{now: start} }
 
--- a/shared/locker/locker.go
+++ b/shared/locker/locker.go
@@ -13,6 +13,8 @@
 	RankMembers
 	// RankZone guards the accelerators and gangs of an availability zone.
 	RankZone
+	// RankPolicy guards the configuration that an instance follows.
+	RankPolicy
 	// RankAdmission guards the counts of requests in flight.
 	RankAdmission
 	// RankRunners guards the slots and health of runners.
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -10,8 +10,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -21,11 +19,8 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
-	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
-	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
-	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
-	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
 )
 
 const (
@@ -34,9 +29,6 @@
 	memoryShare = 0.7
 	// garbagePercent trades memory, which is paid for at its peak, for processor time.
 	garbagePercent = 50
-	// drainShare is the part of the grace in which a stopping instance still takes calls,
-	// so that those who do not know yet that it stops are served.
-	drainShare = 0.5
 )
 
 var cmdSchedule = commander.Command{
@@ -61,51 +53,45 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	me, err := newMember(set, log)
+	cl := clock.New()
+	pa := participant.New(set, participant.Outside{Clock: cl, Log: log})
+	servers, err := listen(set, pa, log)
 	if err != nil {
 		return err
 	}
-	log.Info().Str("zone", string(set.Zone)).Str("incarnation", me.incarnation).Int64("leaseMillis", int64(set.LeaseMillis)).Msg("started")
-	me.run(signals)
+	log.Info().Str("zone", string(set.Zone)).Int64("leaseMillis", int64(set.LeaseMillis)).Msg("started")
+	ctx, cancel := context.WithCancel(context.Background())
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		pa.Run(ctx, stop)
+	}()
+	for si := range signals {
+		if si != syscall.SIGHUP {
+			break
+		}
+		log.Info().Msg("reloadNotNeeded") // every setting that may change comes from the store
+	}
+	close(stop)
+	clock.Sleep(ctx, cl, pa.Drain())
+	shutdown(servers, set.GraceMillis-pa.Drain(), log)
+	cancel()
+	<-ended
+	log.Info().Msg("stopped")
 	return nil
 }
 
-// member is one instance of the scheduler.
-type instance struct {
-	set         member.Settings
-	incarnation string
-	cl          *clock.System
-	log         zerolog.Logger
-	follower    *follower.Follower
-	intake      *intake.Intake
-	conductor   *conductor.Conductor
-	servers     []*http.Server
-	// stopping is set once.
-	stopping atomic.Bool
-}
-
-func newMember(set member.Settings, log zerolog.Logger) (*instance, error) {
-	in := &instance{set: set, incarnation: string(identifier.NewRequest()), cl: clock.New(), log: log}
-	store := platform.NewStore(set.StoreAddress)
-	in.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy}, store, in.cl, log)
-	in.intake = intake.New(store, in.follower, in.cl, log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis})
-	in.conductor = conductor.New(conductor.Parts{
-		Store: store, Workers: platform.NewWorkers(), Policies: in.follower,
-		Reports: conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
-		Clock:   in.cl, Log: log,
-	}, conductor.Options{
-		Instance: set.Instance, Incarnation: in.incarnation, Lease: set.LeaseMillis, Takeover: set.TakeoverMillis,
-		StopGrace: set.StopGraceMillis, Retention: set.RetentionMillis,
-	})
-	ready := func() bool { return !in.stopping.Load() && in.intake.Ready() }
+// listen serves the addresses of the settings.
+func listen(set member.Settings, pa *participant.Participant, log zerolog.Logger) ([]*http.Server, error) {
 	handlers := []struct {
 		address string
 		handler http.Handler
 	}{
-		{set.CallerAddress, platform.NewFront(in.intake, in.cl)},
-		{set.ReadinessAddress, platform.NewReadiness(ready)},
+		{set.CallerAddress, pa.Callers()},
+		{set.ReadinessAddress, pa.Readiness()},
 		{set.MetricsAddress, expvar.Handler()},
 	}
+	var servers []*http.Server
 	for _, ha := range handlers {
 		if ha.address == "" {
 			continue
@@ -115,45 +101,23 @@
 			return nil, fmt.Errorf("%w; free the address or change it in the settings", err)
 		}
 		sv := &http.Server{Handler: ha.handler}
-		in.servers = append(in.servers, sv)
+		servers = append(servers, sv)
 		go func() {
 			if err := sv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				log.Error().Err(err).Str("address", ha.address).Msg("serverEnded")
 			}
 		}()
 	}
-	return in, nil
+	return servers, nil
 }
 
-// run works until a signal asks for the stop.
-func (in *instance) run(signals <-chan os.Signal) {
-	ctx, cancel := context.WithCancel(context.Background())
+// shutdown lets the calls under way end within the time.
+func shutdown(servers []*http.Server, most clock.Millis, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), most.Duration())
 	defer cancel()
-	last, cancelLast := context.WithTimeout(context.Background(), clock.Hour.Duration())
-	defer cancelLast()
-	deciding, resign := context.WithCancel(ctx)
-	defer resign()
-	var parts sync.WaitGroup
-	parts.Go(func() { in.follower.Run(ctx) })
-	parts.Go(func() { in.conductor.Run(deciding, last) })
-	for si := range signals {
-		if si != syscall.SIGHUP {
-			break
-		}
-		in.log.Info().Msg("reloadNotNeeded")
-	}
-	in.stopping.Store(true)
-	in.log.Info().Msg("stopping")
-	resign()
-	clock.Sleep(ctx, in.cl, clock.Millis(float64(in.set.GraceMillis)*drainShare))
-	end, cancelEnd := context.WithTimeout(ctx, clock.Millis(float64(in.set.GraceMillis)*(1-drainShare)).Duration())
-	defer cancelEnd()
-	for _, sv := range in.servers {
-		if err := sv.Shutdown(end); err != nil {
-			in.log.Warn().Err(err).Msg("callsCutOff")
+	for _, sv := range servers {
+		if err := sv.Shutdown(ctx); err != nil {
+			log.Warn().Err(err).Msg("callsCutOff")
 		}
 	}
-	cancel()
-	parts.Wait()
-	in.log.Info().Msg("stopped")
 }
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -209,7 +209,7 @@
 		pl.recorded = true
 	}
 	if ch.ended {
-		delete(te.jobs, ch.entry.job.ID)
+		te.forget(ch.entry.job.ID)
 	}
 }
 
@@ -281,5 +281,10 @@
 			}
 		}
 	}
+	te.forget(id)
+}
+
+func (te *term) forget(id identifier.Job) {
 	delete(te.jobs, id)
+	delete(te.failures, id)
 }
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -62,6 +62,10 @@
 			return
 		}
 		te.submitStop(wo, key, pl)
+	case ta.Phase == workload.Starting && wo.report.Draining && !pl.ordered:
+		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker leaves").Msg("startDropped")
+		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
+		te.poke()
 	case ta.Phase == workload.Starting && pl.recorded && wo.met && pl.life == wo.report.Life:
 		if pl.tries > 0 && now-pl.placed > startPatience {
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).Msg("startGivenUp")
@@ -89,9 +93,12 @@
 	}
 }
 
-// leaseEnd is the end of a full lease from now on, on the worker's clock.
+// leaseEnd is the end of a full lease from now on, on the worker's clock. A worker that
+// does not answer gets no longer lease, so that the last one lapses in a known time.
 func (te *term) leaseEnd(wo *worker, now clock.Millis) clock.Millis {
-	wo.leaseEnd = max(wo.leaseEnd, wo.now(now)+te.op.Lease)
+	if wo.failures == 0 {
+		wo.leaseEnd = max(wo.leaseEnd, wo.now(now)+te.op.Lease)
+	}
 	return wo.leaseEnd
 }
 
@@ -271,7 +278,6 @@
 func (te *term) applyStatus(wo *worker, st fleet.Status, or fleet.HoldOrder, sent, now clock.Millis) {
 	if st.Life != 0 && st.Life != wo.report.Life {
 		te.newLife(wo, st.Life)
-		wo.report.Life = st.Life
 		wo.clock, wo.clockAt = st.Clock, now
 	}
 	if !wo.met {
@@ -291,6 +297,7 @@
 		listed[ru.Task] = true
 		te.applyRunning(wo, ru, now)
 	}
+	te.settleFormer(wo, listed, sent)
 	te.findMissing(wo, listed, sent)
 }
 
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -133,7 +133,8 @@
 	pw := planner.Worker{
 		ID: wo.id, Life: wo.report.Life, Pool: wo.report.Pool, Zone: wo.report.Zone, Rack: wo.report.Rack,
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
-		Usable: wo.reported && wo.met && !wo.report.Draining && wo.failures < failuresTrusted && now >= wo.blocked,
+		Usable:  wo.reported && wo.met && !wo.report.Draining && wo.failures < failuresTrusted && now >= wo.blocked,
+		Suspect: now < wo.suspect,
 	}
 	for key := range wo.strays {
 		if en := te.jobs[key.Job]; en != nil {
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -64,6 +64,8 @@
 		workers map[identifier.Worker]*worker
 		// early holds the cancellations of jobs that are not known, with when they came.
 		early map[identifier.Job]clock.Millis
+		// failures holds the workers that each job has failed on.
+		failures map[identifier.Job]map[identifier.Worker]bool
 		// loaded means that all submissions are known.
 		loaded bool
 		// confirmed is when the last successful commit under the fence was sent.
@@ -105,6 +107,7 @@
 		jobs:      map[identifier.Job]*entry{},
 		workers:   map[identifier.Worker]*worker{},
 		early:     map[identifier.Job]clock.Millis{},
+		failures:  map[identifier.Job]map[identifier.Worker]bool{},
 		confirmed: now,
 		renewed:   now,
 		tally:     map[string]int{},
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -54,6 +54,10 @@
 		blocked clock.Millis
 		// streak holds the jobs whose runs failed here since the last success.
 		streak map[identifier.Job]bool
+		// streakRuns counts those runs.
+		streakRuns int
+		// suspect is until when other workers are preferred, after a run failed here.
+		suspect clock.Millis
 		// banned doubles with each time that the worker is held back for its streak.
 		banned clock.Millis
 
@@ -178,25 +182,39 @@
 	}
 }
 
-// newLife forgets what was known of a worker's former life. The runs that were there are
-// gone, but an order without an answer may still reach the new life; it has to refuse it.
+// newLife forgets what was known of a worker's former life. Its runs are kept until the new
+// life has answered: an order to the former life may have reached the new one.
 func (te *term) newLife(wo *worker, life workload.Life) {
 	if wo.met {
 		te.log.Info().Str("worker", string(wo.id)).Int64("life", int64(life)).Int("runs", len(wo.runs)).Msg("workerReborn")
 	}
+	wo.report.Life = life
 	wo.met, wo.heldAt, wo.leaseEnd = false, 0, 0
 	wo.applied, wo.recorded, wo.told = 0, 0, 0
 	wo.failures, wo.lookAfter = 0, 0
+	wo.strays = map[workload.TaskKey]*placement{}
+}
+
+// settleFormer decides about the runs that were ordered from a former life, once the
+// present one has answered a hold that was sent at the moment: those that it lists were
+// carried out by it, those that the former life had confirmed are lost, and any other may
+// still come to it, unless it accepts a stop.
+func (te *term) settleFormer(wo *worker, listed map[workload.TaskKey]bool, sent clock.Millis) {
 	for key, pl := range wo.runs {
-		if pl.life == life || pl.life == 0 {
+		if pl.life == wo.report.Life {
 			continue
 		}
-		if pl.unanswered {
-			pl.life = life
-			te.stopTask(key)
+		_, ta := te.jobs[key.Job].job.Task(key)
+		confirmed := pl.started > 0 && pl.started <= sent && !pl.unanswered
+		switch {
+		case !pl.ordered || confirmed && !listed[key]:
+			te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndLost})
 			continue
+		case !listed[key]:
+			te.stopTask(key)
 		}
-		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndLost})
+		pl.life, ta.Life = wo.report.Life, wo.report.Life
+		pl.stopped = 0
 	}
 }
 
@@ -259,9 +277,15 @@
 	// failedJobs is how many different jobs must fail on a worker in a row before the
 	// worker rather than the jobs is to blame.
 	failedJobs = 2
+	// failedRuns is how many runs must fail on it in a row if they are of one job that
+	// has failed nowhere else.
+	failedRuns = 3
 	// firstBan is how long such a worker first gets no work; it doubles each time.
 	firstBan = 6 * clock.Second
-	// longestBan bounds it.
+	// suspicion is how long a worker comes last after a run failed there, so that the next
+	// try of the task goes elsewhere: about two runs of the shortest tasks.
+	suspicion = 5 * clock.Second
+	// longestBan bounds the time for which it gets no work.
 	longestBan = 60 * clock.Second
 )
 
@@ -270,19 +294,31 @@
 	switch how {
 	case workload.EndDone:
 		clear(wo.streak)
-		wo.banned = 0
+		wo.streakRuns, wo.banned, wo.suspect = 0, 0, 0
 	case workload.EndFailed:
 		wo.streak[job] = true
-		if len(wo.streak) < failedJobs {
+		wo.streakRuns++
+		wo.suspect = te.Clock.Now() + suspicion
+		te.failedOn(job, wo.id)
+		if len(wo.streak) < failedJobs && (wo.streakRuns < failedRuns || len(te.failures[job]) > 1) {
 			return
 		}
 		clear(wo.streak)
+		wo.streakRuns = 0
 		wo.banned = min(max(2*wo.banned, firstBan), longestBan)
 		wo.blocked = te.Clock.Now() + wo.banned
 		te.log.Warn().Str("worker", string(wo.id)).Int64("banMillis", int64(wo.banned)).Msg("workerBanned")
 	}
 }
 
+// failedOn notes that a job failed on a worker.
+func (te *term) failedOn(job identifier.Job, wo identifier.Worker) {
+	if te.failures[job] == nil {
+		te.failures[job] = map[identifier.Worker]bool{}
+	}
+	te.failures[job][wo] = true
+}
+
 // block holds back new work after a refusal.
 func (te *term) block(wo *worker, why error) {
 	wo.blocked = max(wo.blocked, te.Clock.Now()+refusedBan)
--- a/wagtailcroftd/follower/follower.go
+++ b/wagtailcroftd/follower/follower.go
@@ -45,7 +45,7 @@
 
 // New returns a follower that knows nothing until Run.
 func New(so Source, st tailer.Store, cl clock.Clock, log zerolog.Logger) *Follower {
-	return &Follower{source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankConfig)}
+	return &Follower{source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
 }
 
 // Run follows the configuration until ctx ends.
--- /dev/null
+++ b/wagtailcroftd/participant/participant.go
@@ -0,0 +1,101 @@
+// Package participant puts together one instance of the step job scheduler: the
+// configuration, the intake of calls, and the conductor that decides while it holds the
+// duty.
+package participant
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/platform"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
+)
+
+// drainShare is the part of the grace in which a stopping instance still takes calls, so
+// that those who do not know yet that it stops are served.
+const drainShare = 0.5
+
+type (
+	// Clock also tells the time of day.
+	Clock interface {
+		clock.Clock
+		TimeOfDay() clock.Millis
+	}
+
+	// Outside is what an instance needs of its surroundings.
+	Outside struct {
+		Clock Clock
+		Log   zerolog.Logger
+		// Transport carries the calls to the platform; nil stands for TCP.
+		Transport http.RoundTripper
+	}
+
+	// Participant is one instance.
+	Participant struct {
+		set       member.Settings
+		cl        Clock
+		log       zerolog.Logger
+		follower  *follower.Follower
+		intake    *intake.Intake
+		conductor *conductor.Conductor
+		// stopping is set once.
+		stopping atomic.Bool
+	}
+)
+
+// New returns an instance that does nothing until Run.
+func New(set member.Settings, ou Outside) *Participant {
+	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log}
+	store := platform.NewStore(set.StoreAddress, ou.Transport)
+	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy}, store, ou.Clock, ou.Log)
+	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis})
+	pa.conductor = conductor.New(conductor.Parts{
+		Store: store, Workers: platform.NewWorkers(ou.Transport), Policies: pa.follower,
+		Reports: conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
+		Clock:   ou.Clock, Log: ou.Log,
+	}, conductor.Options{
+		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Lease: set.LeaseMillis, Takeover: set.TakeoverMillis,
+		StopGrace: set.StopGraceMillis, Retention: set.RetentionMillis,
+	})
+	return pa
+}
+
+// Callers is the handler of the clients' calls.
+func (pa *Participant) Callers() http.Handler { return platform.NewFront(pa.intake, pa.cl) }
+
+// Readiness is the handler of the platform's question whether new connections are welcome.
+func (pa *Participant) Readiness() http.Handler {
+	return platform.NewReadiness(func() bool { return !pa.stopping.Load() && pa.intake.Ready() })
+}
+
+// Run takes part until ctx ends. Once stop is closed it gives up the duty, if it holds it,
+// and goes on to serve calls.
+func (pa *Participant) Run(ctx context.Context, stop <-chan struct{}) {
+	deciding, resign := context.WithCancel(ctx)
+	defer resign()
+	var parts sync.WaitGroup
+	parts.Go(func() { pa.follower.Run(ctx) })
+	parts.Go(func() { pa.conductor.Run(deciding, ctx) })
+	select {
+	case <-ctx.Done():
+	case <-stop:
+		pa.stopping.Store(true)
+		pa.log.Info().Msg("stopping")
+		resign()
+	}
+	parts.Wait()
+}
+
+// Drain is how long a stopping instance goes on to take calls.
+func (pa *Participant) Drain() clock.Millis {
+	return clock.Millis(float64(pa.set.GraceMillis) * drainShare)
+}
