Keep leases and orders going while the store takes no record

Cause: one goroutine recorded and gave orders by turns, so that while a record waited for the store no lease was extended; runs lapsed in outages longer than a lease less what was left of it. Found by putting faults back in: a test that should have failed did not, since no hold was sent at all.

Change: the orders have a loop of their own.

--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -37,10 +37,24 @@
 		if !te.commit(ba) {
 			return
 		}
+		signal(te.due)
+		clock.Sleep(te.ctx, te.Clock, roundGap)
+	}
+}
+
+// dispatches gives the orders that are due, and keeps the leases, also while the store
+// takes no record.
+func (te *term) dispatches() {
+	for te.ctx.Err() == nil {
+		select {
+		case <-te.ctx.Done():
+			return
+		case <-te.due:
+		case <-te.Clock.After(roundEvery):
+		}
 		te.mu.Lock()
 		te.dispatch()
 		te.mu.Unlock()
-		clock.Sleep(te.ctx, te.Clock, roundGap)
 	}
 }
 
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -49,8 +49,10 @@
 		looks  *pool.Pool
 		cancel context.CancelFunc
 		ctx    context.Context
-		wake   chan struct{}
-		began  clock.Millis
+		// wake asks for a round, due for the orders that are due.
+		wake  chan struct{}
+		due   chan struct{}
+		began clock.Millis
 		// lost is set once, before the term ends, when another instance may hold the duty.
 		lost atomic.Bool
 
@@ -102,6 +104,7 @@
 		orders:    pool.New(orderWorkers, orderQueue),
 		looks:     pool.New(lookWorkers, lookQueue),
 		wake:      make(chan struct{}, 1),
+		due:       make(chan struct{}, 1),
 		began:     now,
 		mu:        locker.New(locker.RankZone),
 		jobs:      map[identifier.Job]*entry{},
@@ -126,6 +129,7 @@
 	te.tail(&tails, recorder.Cancels, 0, cancelReader{te})
 	te.tail(&tails, te.Reports.Table, reportGap, reportReader{te})
 	tails.Go(te.sweep)
+	tails.Go(te.dispatches)
 	te.rounds()
 	te.cancel()
 	tails.Wait()
@@ -164,10 +168,15 @@
 	return false
 }
 
-// poke asks for a round soon.
+// poke asks for a round, and for the orders that are due, soon.
 func (te *term) poke() {
+	signal(te.wake)
+	signal(te.due)
+}
+
+func signal(ch chan<- struct{}) {
 	select {
-	case te.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -81,6 +81,35 @@
 			asserter.Equal(t, sc.cluster.Runs(), 4)
 		})
 	})
+	t.Run("a worker out of the new holder's reach may have leases of the former one", func(t *testing.T) {
+		play(t, 3, 2, func(sc *scene) {
+			jo := sc.accepted(0, sc.job(normalPrefix, seconds(40), tasks(1, 2)))
+			sc.sleep(time.Second)
+			at, former := sc.cluster.At(jo.ID)[0], sc.instances[sc.holder()].name
+			for _, in := range sc.instances {
+				if in.name != former {
+					sc.cluster.RunnerOutage(in.name, at, fleet.Silent)
+				}
+			}
+			sc.cluster.StoreOutage(former, fleet.Silent)
+			sc.sleep(60 * time.Second)
+			sc.becomes(sc.holder(), jo, "completed", 20*time.Second)
+		})
+	})
+	t.Run("an end that is not recorded is not forgotten", func(t *testing.T) {
+		play(t, 3, 2, func(sc *scene) {
+			jo := sc.accepted(0, sc.job(normalPrefix, seconds(2), tasks(2, 2)))
+			sc.sleep(time.Second)
+			former := sc.holder()
+			sc.cluster.StoreOutage("", fleet.Silent)
+			sc.sleep(8 * time.Second)
+			sc.kill(former)
+			sc.cluster.StoreOutage("", fleet.Reachable)
+			sc.sleep(4 * time.Second)
+			sc.becomes(sc.holder(), jo, "completed", 4*time.Second)
+			asserter.Equal(t, sc.cluster.Runs(), 2)
+		})
+	})
 	t.Run("all processes die and what was accepted is done", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			jo := sc.accepted(0, sc.job(normalPrefix, seconds(2), tasks(4, 2)))
@@ -101,10 +130,10 @@
 	for name, how := range map[string]fleet.Outage{"silent": fleet.Silent, "busy": fleet.Busy, "reset": fleet.Reset} {
 		t.Run("runs outlive a store that is "+name, func(t *testing.T) {
 			play(t, 3, 4, func(sc *scene) {
-				jo := sc.accepted(0, sc.job(normalPrefix, seconds(9), tasks(4, 2)))
-				sc.sleep(time.Second)
+				jo := sc.accepted(0, sc.job(normalPrefix, seconds(14), tasks(4, 2)))
+				sc.sleep(3 * time.Second)
 				sc.cluster.StoreOutage("", how)
-				sc.sleep(9 * time.Second)
+				sc.sleep(11 * time.Second)
 				sc.cluster.StoreOutage("", fleet.Reachable)
 				sc.sleep(2 * time.Second)
 				sc.becomes(0, jo, "completed", 4*time.Second)
