Give up on a silent store early, and tell callers when to come back by the outage's age

Change: all tries of a call end after 1.2 s, others are refused at once meanwhile, Retry-After grows with the outage from 1 s to 3 s; the load is logged once a second. Ruled out: answering 503 after an unanswered write, which would not be certain.

--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -16,6 +16,8 @@
 	// retryDelay holds a job back after one of its runs failed, for a failure that lasts
 	// only a moment.
 	retryDelay = 300 * clock.Millis(1)
+	// observeEvery is the time between two log lines about the load.
+	observeEvery = 1000 * clock.Millis(1)
 	// failuresTrusted is the number of failed calls in a row from which a worker gets no
 	// new work.
 	failuresTrusted = 1
@@ -69,6 +71,7 @@
 	te.evacuate(now)
 	in := te.input(po, now)
 	pl := planner.New(in)
+	te.observe(in, pl, now)
 	for _, sp := range pl.Stops {
 		te.applyStop(sp)
 	}
@@ -162,6 +165,42 @@
 	return pw
 }
 
+// observe logs, once a while, what waits and what is free.
+func (te *term) observe(in planner.Input, pl planner.Plan, now clock.Millis) {
+	if now-te.observed < observeEvery {
+		return
+	}
+	te.observed = now
+	var free workload.Room
+	usable := 0
+	for _, wo := range in.Workers {
+		if wo.Usable {
+			usable++
+			free = free.Add(wo.Capacity)
+		}
+	}
+	waiting, held := 0, 0
+	var wanted meter.Accelerators
+	for _, jo := range in.Jobs {
+		for _, st := range jo.Stages {
+			for i := range st.Tasks {
+				switch {
+				case st.Tasks[i].Held():
+					held++
+					free = free.Sub(jo.StepOf(st).Reserved())
+				case st.Tasks[i].Phase == workload.Waiting && !jo.State.Final():
+					waiting++
+					wanted += jo.StepOf(st).Need.Accelerators
+				}
+			}
+		}
+	}
+	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int64("wanted", int64(wanted)).Int("held", held).
+		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
+		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
+		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).Msg("loadSeen")
+}
+
 func (te *term) applyStop(sp planner.Stop) {
 	ta := &sp.Stage.Tasks[sp.Index]
 	te.log.Info().Str("task", sp.Job.Key(sp.Stage, sp.Index).String()).Int64("run", int64(ta.Run)).Str("for", string(sp.For)).
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -77,8 +77,8 @@
 		// tally is what the tally row holds; tallied is when it was written.
 		tally   map[string]int
 		tallied clock.Millis
-		// swept is when old ended jobs were last removed.
-		swept clock.Millis
+		// observed is when the load was last logged.
+		observed clock.Millis
 	}
 
 	// entry is a job and its row.
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -21,8 +21,16 @@
 )
 
 const (
-	// retryAfter is told with a refusal: the store is tried again twice within it.
+	// retryAfter is told with a refusal for want of a fresh configuration, which is asked
+	// for again within it.
 	retryAfter = clock.Second
+	// leastComeBack and mostComeBack bound what is told with a refusal because of the store;
+	// callers come back up to 4 times, within 12 s.
+	leastComeBack = clock.Second
+	mostComeBack  = 3 * clock.Second
+	// patience bounds all tries of one call to the store: well below half of the 3 s that
+	// callers wait, so that they have time to try another instance.
+	patience = 1200 * clock.Millis(1)
 	// outagePause is how long callers are refused at once after the store has failed,
 	// before one of them tries it again.
 	outagePause = 250 * clock.Millis(1)
@@ -30,7 +38,7 @@
 	tallyAge = 400 * clock.Millis(1)
 	// firstTry bounds the first try of a call to the store, which answers within 10 ms as a
 	// rule; each further try may take three times as long as the one before.
-	firstTry = 300 * clock.Millis(1)
+	firstTry = 250 * clock.Millis(1)
 	tryRise  = 3
 	// retryPause lies between two tries.
 	retryPause = 30 * clock.Millis(1)
@@ -71,7 +79,9 @@
 		mu locker.Mutex
 		// failedAt is when the store last failed; 0 means that the last call succeeded.
 		failedAt clock.Millis
-		tally    ledger.Tally
+		// lostAt is when the present or the last outage began.
+		lostAt clock.Millis
+		tally  ledger.Tally
 		// talliedAt is when the tally was asked for; 0 means never.
 		talliedAt clock.Millis
 	}
@@ -113,7 +123,7 @@
 // outcome NotRun are certain: the job is not stored and will not be.
 func (in *Intake) Submit(ctx context.Context, ac policy.Access, jo *workload.Job) error {
 	if in.failing() {
-		return problem.New(problem.StoreUnavailable, "the store has just failed").Say(problem.NotRun).Retry(retryAfter)
+		return in.refusal("the store has just failed")
 	}
 	jo.Queue, jo.Workspace, jo.Accepted = ac.Queue.Name, ac.Workspace, in.cl.TimeOfDay()
 	jobs, ended := recorder.JobKey(recorder.Jobs, jo.ID), recorder.JobKey(recorder.Ended, jo.ID)
--- a/wagtailcroftd/intake/store.go
+++ b/wagtailcroftd/intake/store.go
@@ -11,9 +11,11 @@
 )
 
 // write applies a transaction. Where an answer is lost, the same transaction is sent again
-// until ctx ends, for only that tells what became of it. Errors: *rowstore.Conflict;
+// for a while, for only that tells what became of it. Errors: *rowstore.Conflict;
 // StoreUnavailable, which is certain; OutcomeUnknown.
 func (in *Intake) write(ctx context.Context, tr rowstore.Transaction) error {
+	ctx, giveUp := in.cl.Bound(ctx, patience)
+	defer giveUp()
 	uncertain := false
 	for most := firstTry; ; most *= tryRise {
 		bound, cancel := in.cl.Bound(ctx, most)
@@ -26,16 +28,17 @@
 			return err
 		case eris.Is(err, rowstore.ErrUnknown):
 			uncertain = true
+			in.failed(err) // so that others are refused at once meanwhile
 			in.store.Reset()
 		case !eris.Is(err, rowstore.ErrNotDone):
 			return err
 		case !uncertain:
 			in.failed(err)
-			return problem.New(problem.StoreUnavailable, "%v", err).Say(problem.NotRun).Retry(retryAfter)
+			return in.refusal("%v", err)
 		}
 		if ctx.Err() != nil || !clock.Sleep(ctx, in.cl, retryPause) {
 			in.failed(err)
-			return problem.New(problem.OutcomeUnknown, "the store did not answer in time").Retry(retryAfter)
+			return problem.New(problem.OutcomeUnknown, "the store did not answer in time").Retry(in.comeBack())
 		}
 	}
 }
@@ -43,6 +46,8 @@
 // read returns a row; an absent one has version 0. Errors are of the kind
 // StoreUnavailable.
 func (in *Intake) read(ctx context.Context, key rowstore.Key) (rowstore.Row, error) {
+	ctx, giveUp := in.cl.Bound(ctx, patience)
+	defer giveUp()
 	for most := firstTry; ; most *= tryRise {
 		bound, cancel := in.cl.Bound(ctx, most)
 		page, err := in.store.Read(bound, key.Table, key.Name, key.Name+"\x00", 1)
@@ -57,7 +62,7 @@
 		in.store.Reset()
 		if ctx.Err() != nil || !clock.Sleep(ctx, in.cl, retryPause) {
 			in.failed(err)
-			return rowstore.Row{}, problem.New(problem.StoreUnavailable, "%v", err).Retry(retryAfter)
+			return rowstore.Row{}, problem.New(problem.StoreUnavailable, "%v", err).Retry(in.comeBack())
 		}
 	}
 }
@@ -66,7 +71,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.failedAt > 0 {
-		in.log.Info().Int64("lostMillis", int64(in.cl.Now()-in.failedAt)).Msg("storeRegained")
+		in.log.Info().Int64("lostMillis", int64(in.cl.Now()-in.lostAt)).Msg("storeRegained")
 	}
 	in.failedAt = 0
 }
@@ -74,10 +79,25 @@
 func (in *Intake) failed(err error) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	now := in.cl.Now()
 	if in.failedAt == 0 {
+		in.lostAt = now
 		in.log.Warn().Err(err).Msg("storeLost")
 	}
-	in.failedAt = in.cl.Now()
+	in.failedAt = now
+}
+
+// refusal is a certain refusal because of the store.
+func (in *Intake) refusal(format string, args ...any) error {
+	return problem.New(problem.StoreUnavailable, format, args...).Say(problem.NotRun).Retry(in.comeBack())
+}
+
+// comeBack is when a caller should come back: an outage that has lasted for a while will,
+// as far as anyone knows, last as long again.
+func (in *Intake) comeBack() clock.Millis {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return min(max(in.cl.Now()-in.lostAt, leastComeBack), mostComeBack)
 }
 
 // failing reports whether the store has just failed, so that trying it now is in vain.
