Hold workers for waiting gangs, and ask idle workers that fell silent again

Cause: (1) single tasks took each freed accelerator, so that large gangs of priority 1 waited 25 to 45 s; (2) a worker that did not answer once and had no run was never asked again and got no more work.

Change: up to a fifth of the workers is kept for the first gangs that do not fit; a worker that failed to answer is asked until it does.

A test for (2) failed before.

--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -27,6 +27,8 @@
 		slots   []*slot
 		byID    map[identifier.Worker]*slot
 		covered map[identifier.Job]bool
+		// held counts the slots that are kept.
+		held int
 	}
 
 	// slot is a worker with the room that the plan so far leaves.
@@ -37,6 +39,8 @@
 		// soon is free once all that is stopping has ended.
 		soon workload.Room
 		runs []run
+		// held means that the room is kept until a gang fits.
+		held bool
 		// planned counts the tasks of a stage that the plan puts here.
 		planned map[*workload.Stage]int
 	}
@@ -107,7 +111,13 @@
 		ro.keep(ca, found)
 		return true
 	}
-	return ca.queue.Priority == 0 && ro.preempt(ca, slots, len(indexes))
+	if ca.queue.Priority == 0 && ro.preempt(ca, slots, len(indexes)) {
+		return true
+	}
+	if ca.step.Gang {
+		ro.hold(ca, slots, len(indexes))
+	}
+	return false
 }
 
 // start plans new runs.
@@ -171,7 +181,7 @@
 	var failed []*slot
 	for _, sl := range ro.slots {
 		wo := sl.worker
-		if !wo.Usable || wo.Pool != ca.queue.Pool || !wo.Capacity.Fits(ca.step.Reserved()) {
+		if sl.held || !wo.Usable || wo.Pool != ca.queue.Pool || !wo.Capacity.Fits(ca.step.Reserved()) {
 			continue
 		}
 		if ca.step.Requires != "" && !slices.Contains(wo.Labels, ca.step.Requires) {
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -216,7 +216,8 @@
 	busy := len(wo.runs)+len(wo.strays) > 0
 	or := fleet.HoldOrder{Fence: te.duty.holder.Fence, Seen: wo.recorded}
 	switch {
-	case !wo.met && (wo.reported || busy):
+	case (!wo.met || wo.failures > 0) && (wo.reported || busy):
+		// A worker must answer before it gets work, or gets it again.
 	case wo.applied > wo.recorded:
 		// Ends that are not recorded yet would come again at once.
 		if now-wo.heldAt < te.op.Lease/leaseParts {
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -240,6 +240,16 @@
 			sc.becomes(0, jo, "completed", 40*time.Second)
 		})
 	})
+	t.Run("a worker that comes back idle is used again", func(t *testing.T) {
+		play(t, 3, 1, func(sc *scene) {
+			jo := sc.accepted(0, sc.job(normalPrefix, seconds(3), tasks(2, 2)))
+			sc.sleep(time.Second)
+			sc.cluster.RunnerOutage("", 0, fleet.Reset)
+			sc.sleep(20 * time.Second)
+			sc.cluster.RunnerOutage("", 0, fleet.Reachable)
+			sc.becomes(0, jo, "completed", 6*time.Second)
+		})
+	})
 	t.Run("a leaving worker gets no more work and its runs are saved", func(t *testing.T) {
 		play(t, 3, 2, func(sc *scene) {
 			saving := tasks(4, 2)
