--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -55,8 +55,6 @@
 		// Guarantees holds the accelerators that belong to each workspace for its work
 		// of priority 0.
 		Guarantees map[identifier.Workspace]meter.Accelerators
-		// NotBefore holds the jobs whose tasks are held back until a moment.
-		NotBefore map[identifier.Job]clock.Millis
 		// Waited tells how long a job has waited, on the scheduler's own clock.
 		Waited func(id identifier.Job) clock.Millis
 	}
@@ -117,7 +115,7 @@
 	var all []candidate
 	for order, jo := range ro.in.Jobs {
 		qu, known := ro.in.Queues[jo.Queue]
-		if jo.State.Final() || !known || ro.in.NotBefore[jo.ID] > ro.in.Now {
+		if jo.State.Final() || !known {
 			continue
 		}
 		for _, st := range jo.Stages {
--- a/shared/rowstore/rowstore.go
+++ b/shared/rowstore/rowstore.go
@@ -65,20 +65,20 @@
 		Version meter.RowVersion
 	}
 
-	// Conflict means that a transaction was not applied, for a row had another version.
-	Conflict struct {
+	// ConflictError means that a transaction was not applied, for a row had another version.
+	ConflictError struct {
 		// Rows holds the expected rows as they are; one that is absent may be missing.
 		Rows []Row
 	}
 )
 
 // Error names the rows.
-func (co *Conflict) Error() string {
+func (co *ConflictError) Error() string {
 	return fmt.Sprintf("a condition of the transaction does not hold (%d rows); read them again and repeat the change", len(co.Rows))
 }
 
 // Row returns the row of a key as it is; an absent row has version 0.
-func (co *Conflict) Row(key Key) Row {
+func (co *ConflictError) Row(key Key) Row {
 	for _, ro := range co.Rows {
 		if ro.Key == key {
 			return ro
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -157,7 +157,7 @@
 	cl.judge.drained(ru)
 	born := ru.born
 	cl.after(cl.op.Drain, func() {
-		if ru.born == born && ru.up {
+		if ru.born.Equal(born) && ru.up {
 			ru.die()
 			cl.Store.Remove("servers", ru.id)
 		}
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -314,7 +314,7 @@
 			over = true
 		}
 		ru.cluster.mu.Lock()
-		if ru.born != born {
+		if !ru.born.Equal(born) {
 			panic(http.ErrAbortHandler) // the connection went with the former life
 		}
 		if over {
--- a/standin/fleet/transport.go
+++ b/standin/fleet/transport.go
@@ -218,7 +218,9 @@
 		time.AfterFunc(delay, func() {
 			// a delayed order ends with the life that it was given to
 			if ru.life() == born {
-				_, _ = carry(later, body, ru) // nobody waits for the answer
+				if rs, err := carry(later, body, ru); err == nil {
+					_ = rs.Body.Close() // nobody waits for the answer
+				}
 			}
 		})
 		return silent(rq)
@@ -249,7 +251,7 @@
 }
 
 // fail plays an outage, if there is one.
-func fail(rq *http.Request, how Outage) (*http.Response, error, bool) { //nolint:revive // the error is what a RoundTripper returns
+func fail(rq *http.Request, how Outage) (*http.Response, error, bool) {
 	switch how {
 	case Silent:
 		rs, err := silent(rq)
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -166,7 +166,7 @@
 		ctx, cancel := te.Clock.Bound(te.ctx, writeTimeout)
 		version, err := te.Store.Write(ctx, tr)
 		cancel()
-		var conflict *rowstore.Conflict
+		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
 			te.written(changes, version, renew, next, tally, sent)
@@ -215,7 +215,7 @@
 
 // resolve finds out what a conflict means: that a former try of the same transaction took
 // effect, that the duty is lost, or that the row of a job is not what was expected.
-func (te *term) resolve(changes []change, co *rowstore.Conflict, renew bool, next ledger.Holder, tally map[string]int, sent clock.Millis) (done, ok bool) {
+func (te *term) resolve(changes []change, co *rowstore.ConflictError, renew bool, next ledger.Holder, tally map[string]int, sent clock.Millis) (done, ok bool) {
 	duty := co.Row(recorder.DutyKey)
 	if te.tookEffect(changes, co, renew, next) {
 		version := duty.Version
@@ -238,7 +238,7 @@
 }
 
 // tookEffect reports whether the rows are as the transaction would have left them.
-func (te *term) tookEffect(changes []change, co *rowstore.Conflict, renew bool, next ledger.Holder) bool {
+func (te *term) tookEffect(changes []change, co *rowstore.ConflictError, renew bool, next ledger.Holder) bool {
 	if renew && !bytes.Equal(co.Row(recorder.DutyKey).Value, recorder.Encode(next)) {
 		return false
 	}
@@ -257,7 +257,7 @@
 
 // refresh takes the version of a job's row from a conflict. Nothing but this holder
 // changes such a row, so it holds a state that this holder wrote.
-func (te *term) refresh(en *entry, co *rowstore.Conflict) {
+func (te *term) refresh(en *entry, co *rowstore.ConflictError) {
 	row := co.Row(recorder.JobKey(recorder.Jobs, en.job.ID))
 	if row.Version == 0 {
 		te.log.Warn().Str("job", string(en.job.ID)).Msg("jobRowGone")
--- a/wagtailcroftd/conductor/duty.go
+++ b/wagtailcroftd/conductor/duty.go
@@ -170,7 +170,7 @@
 		bound, cancel := du.cl.Bound(ctx, writeTimeout)
 		written, err := du.store.Write(bound, tr)
 		cancel()
-		var conflict *rowstore.Conflict
+		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
 			return written, nil
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -155,14 +155,14 @@
 	or := fleet.StopOrder{Task: key.String(), Run: pl.run, Fence: te.duty.holder.Fence}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
 	pl.busy = true
-	if err := te.orders.Submit(true, func() { te.stop(wo, key, pl, to, or) }); err != nil {
+	if err := te.orders.Submit(true, func() { te.stop(wo, pl, to, or) }); err != nil {
 		pl.busy = false
 		pl.after = te.Clock.Now() + orderPause
 		te.log.Warn().Err(err).Str("task", or.Task).Msg("orderDelayed")
 	}
 }
 
-func (te *term) stop(wo *worker, key workload.TaskKey, pl *placement, to fleet.Target, or fleet.StopOrder) {
+func (te *term) stop(wo *worker, pl *placement, to fleet.Target, or fleet.StopOrder) {
 	ctx, cancel := te.Clock.Bound(te.ctx, orderTimeout)
 	st, err := te.Workers.Stop(ctx, to, or)
 	cancel()
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -13,9 +13,6 @@
 	// evacuateSlack is the time, beyond that of a stop, that must be left for a run on a
 	// leaving worker to save its progress.
 	evacuateSlack = 800 * clock.Millis(1)
-	// retryDelay holds a job back after one of its runs failed, for a failure that lasts
-	// only a moment.
-	retryDelay = 300 * clock.Millis(1)
 	// observeEvery is the time between two log lines about the load.
 	observeEvery = 1000 * clock.Millis(1)
 	// failuresTrusted is the number of failed calls in a row from which a worker gets no
@@ -120,7 +117,6 @@
 		Now:        now,
 		Queues:     make(map[identifier.Queue]planner.Queue, len(po.Queues)),
 		Guarantees: make(map[identifier.Workspace]meter.Accelerators, len(po.Workspaces)),
-		NotBefore:  map[identifier.Job]clock.Millis{},
 		Waited:     func(id identifier.Job) clock.Millis { return now - te.jobs[id].arrived },
 	}
 	for i := range po.Queues {
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -135,7 +135,7 @@
 		},
 	}
 	err := in.write(ctx, tr)
-	var conflict *rowstore.Conflict
+	var conflict *rowstore.ConflictError
 	if eris.As(err, &conflict) {
 		if conflict.Row(jobs).Version > 0 || conflict.Row(ended).Version > 0 {
 			in.log.Info().Str("job", string(jo.ID)).Str("outcome", "known").Msg("jobSubmitted")
@@ -149,7 +149,7 @@
 }
 
 // changed takes a newer configuration from a conflict; the call is to be resolved again.
-func (in *Intake) changed(co *rowstore.Conflict) error {
+func (in *Intake) changed(co *rowstore.ConflictError) error {
 	row := co.Row(in.policyKey)
 	if row.Version > 0 {
 		in.policies.Apply(row)
@@ -192,7 +192,7 @@
 		Expect: []rowstore.Expectation{{Key: in.policyKey, Version: ac.Version}},
 		Puts:   []rowstore.Put{{Key: recorder.JobKey(recorder.Cancels, id), Value: recorder.Encode(ledger.Cancellation{At: in.cl.TimeOfDay()})}},
 	})
-	var conflict *rowstore.Conflict
+	var conflict *rowstore.ConflictError
 	if eris.As(err, &conflict) {
 		return in.changed(conflict)
 	}
--- a/wagtailcroftd/intake/store.go
+++ b/wagtailcroftd/intake/store.go
@@ -11,7 +11,7 @@
 )
 
 // write applies a transaction. Where an answer is lost, the same transaction is sent again
-// for a while, for only that tells what became of it. Errors: *rowstore.Conflict;
+// for a while, for only that tells what became of it. Errors: *rowstore.ConflictError;
 // StoreUnavailable, which is certain; OutcomeUnknown.
 func (in *Intake) write(ctx context.Context, tr rowstore.Transaction) error {
 	ctx, giveUp := in.cl.Bound(ctx, patience)
@@ -21,7 +21,7 @@
 		bound, cancel := in.cl.Bound(ctx, most)
 		_, err := in.store.Write(bound, tr)
 		cancel()
-		var conflict *rowstore.Conflict
+		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil || eris.As(err, &conflict):
 			in.succeeded()
--- a/wagtailcroftd/participant/scene_test.go
+++ b/wagtailcroftd/participant/scene_test.go
@@ -85,7 +85,9 @@
 	sc.cluster.Configure(sc.config)
 	story.Reset()
 	if os.Getenv("SCENE_LOG") != "" {
-		sc.cluster.Trace = func(line string) { fmt.Fprintf(&story, "ms=%d RUNNER %s\n", time.Now().UnixMilli()%1_000_000, line) }
+		sc.cluster.Trace = func(line string) {
+			_, _ = fmt.Fprintf(&story, "ms=%d RUNNER %s\n", time.Now().UnixMilli()%1_000_000, line) // a buffer takes all
+		}
 	}
 	for i := range instances {
 		sc.instances = append(sc.instances, sc.begin(fmt.Sprintf("i-%d", i)))
