--- a/wagtailcroftd/intake/store.go
+++ b/wagtailcroftd/intake/store.go
@@ -27,8 +27,10 @@
 			in.succeeded()
 			return err
 		case eris.Is(err, rowstore.ErrUnknown):
+			if uncertain {
+				in.failed(err) // not just slow: others are refused at once meanwhile
+			}
 			uncertain = true
-			in.failed(err) // so that others are refused at once meanwhile
 			in.store.Reset()
 		case !eris.Is(err, rowstore.ErrNotDone):
 			return err
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -191,6 +191,19 @@
 			sc.becomes(0, jo, "completed", 8*time.Second)
 		})
 	})
+	t.Run("a store that is slow is not taken as lost", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			sc.cluster.SlowStore(60)
+			statuses := make(chan int, 4)
+			for i := range 4 {
+				jo := sc.job(normalPrefix, seconds(1), tasks(1, 1))
+				time.AfterFunc(time.Duration(i)*100*time.Millisecond, func() { statuses <- sc.submit(0, jo) })
+			}
+			for range 4 {
+				asserter.Equal(t, <-statuses, http.StatusOK)
+			}
+		})
+	})
 	t.Run("a store 60 times slower is only slower", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			sc.cluster.SlowStore(60)
