Carry out advice, lasting tasks with paced fillers, and waves of upkeep

Cause: these parts of the protocol were decoded and not served. And: an end `done` of a run that had been given up was ignored, so that its work was done again.

A late end `done` counts if no newer run exists.

Conclusion: every field of the wire is carried out now but allowDuplicates, which permits copies and does not ask for them.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -19,6 +19,8 @@
 	ErrLate = eris.New("the lease of the order has expired; send it again with a later end")
 	// ErrNoRoom means that the worker has no room for the run.
 	ErrNoRoom = eris.New("the worker has no room; place the task elsewhere")
+	// ErrNoTicket means that the advice service's ticket is missing or no longer valid.
+	ErrNoTicket = eris.New("the worker wants a valid ticket; ask for advice again")
 	// ErrOtherLife means that another life of the worker, or another worker, answered.
 	ErrOtherLife = eris.New("another life of the worker answered; take the former one's runs as lost")
 	// ErrUnhealthy means that the worker refused the order and did nothing.
@@ -63,6 +65,43 @@
 		Fence    meter.LeaseEpoch
 		// Saved is the checkpoint to go on from; empty means none.
 		Saved string
+		// Ticket is the permission of the advice service; empty where none is needed.
+		Ticket string
+	}
+
+	// PaceOrder lets a run work at a share of its speed.
+	PaceOrder struct {
+		Task    string
+		Run     meter.RunNumber
+		Percent meter.Percent
+		Fence   meter.LeaseEpoch
+	}
+
+	// Advice tells which of the workers asked about may run a step.
+	Advice struct {
+		// Tickets holds the approved workers.
+		Tickets map[identifier.Worker]string
+		// Validity is how long the tickets are valid.
+		Validity clock.Millis
+	}
+
+	// Wave asks that some machines have their upkeep.
+	Wave struct {
+		Number   int64
+		Machines []identifier.Machine
+		// Most is how many may be down at once.
+		Most int
+	}
+
+	// Machine is a machine as the platform lists it.
+	Machine struct {
+		ID identifier.Machine
+		// Worker is the worker that runs there now; empty while it is down.
+		Worker identifier.Worker
+		// Up means that it is neither moving nor in upkeep nor broken.
+		Up bool
+		// InUpkeep means that it is down for upkeep.
+		InUpkeep bool
 	}
 
 	// StopOrder asks for the end of a run.
@@ -99,6 +138,8 @@
 		Run      meter.RunNumber
 		Saved    string
 		Progress meter.Percent
+		// Tail is the tail of the response times of a task that serves; 0 is unknown.
+		Tail clock.Millis
 	}
 
 	// Ended is a run that has ended.
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -55,6 +55,8 @@
 		// Guarantees holds the accelerators that belong to each workspace for its work
 		// of priority 0.
 		Guarantees map[identifier.Workspace]meter.Accelerators
+		// Allowed tells whether a worker may run a stage; nil allows all.
+		Allowed func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool
 		// Waited tells how long a job has waited, on the scheduler's own clock.
 		Waited func(id identifier.Job) clock.Millis
 	}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -38,6 +38,8 @@
 		now workload.Room
 		// soon is free once all that is stopping has ended.
 		soon workload.Room
+		// runs holds those that may be stopped for others: not lasting ones, whose absence
+		// their users would feel.
 		runs []run
 		// held means that the room is kept until a gang fits.
 		held bool
@@ -81,8 +83,11 @@
 	}
 	need := ru.job.StepOf(ru.stage).Reserved()
 	sl.now = sl.now.Sub(need)
-	if ta.Phase != workload.Stopping {
-		sl.soon = sl.soon.Sub(need)
+	if ta.Phase == workload.Stopping {
+		return
+	}
+	sl.soon = sl.soon.Sub(need)
+	if !ru.job.StepOf(ru.stage).Lasting {
 		sl.runs = append(sl.runs, ru)
 	}
 }
@@ -187,6 +192,9 @@
 		if ca.step.Requires != "" && !slices.Contains(wo.Labels, ca.step.Requires) {
 			continue
 		}
+		if ro.in.Allowed != nil && !ro.in.Allowed(ca.job, ca.stage, wo.ID) {
+			continue
+		}
 		if slices.ContainsFunc(indexes, func(i int) bool { return ca.stage.Tasks[i].FailedOn == wo.ID }) {
 			failed = append(failed, sl)
 			continue
--- a/decisions/workload/changes.go
+++ b/decisions/workload/changes.go
@@ -7,9 +7,12 @@
 // that do not last.
 func (jo *Job) End(tk TaskKey, run RunEnd, attempts int) bool {
 	st, ta := jo.Task(tk)
-	if ta == nil || !ta.Held() || ta.Run != run.Run {
+	if ta == nil || ta.Run != run.Run || jo.State.Final() && !ta.Held() {
 		return false
 	}
+	if !ta.Held() && (ta.Phase != Waiting || run.How != EndDone) {
+		return false // only that the work is done still counts after the run was given up
+	}
 	step := jo.StepOf(st)
 	if run.Saved != "" && step.Checkpoints {
 		jo.save(st, ta, run.Saved)
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -301,6 +301,16 @@
 	return true
 }
 
+// Waits reports whether a task of the stage has no run and is not done.
+func (sg *Stage) Waits() bool {
+	for i := range sg.Tasks {
+		if sg.Tasks[i].Phase == Waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // NextRun returns the number of the next run: of the task, or for a gang of all.
 func (sg *Stage) NextRun(index int, gang bool) meter.RunNumber {
 	if !gang {
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -151,3 +151,10 @@
 	// Worker Names a worker.
 	Worker externalRef0.WorkerID `json:"worker,omitempty"`
 }
+
+// Wave Table waves, key N. How far a wave of upkeep is; written by the holder.
+type Wave struct {
+	// Begun Machines whose upkeep has begun.
+	Begun     []string `json:"begun"`
+	Completed bool     `json:"completed,omitempty"`
+}
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -9,6 +9,9 @@
 
 // Settings What an instance of the step job scheduler needs to know of where it runs.
 type Settings struct {
+	// AdviceAddress Address of the service that decides which workers may run a step; empty means none.
+	AdviceAddress string `json:"adviceAddress,omitempty" toml:"adviceAddress" validate:"omitempty,hostname_port"`
+
 	// CallerAddress Address that serves callers.
 	CallerAddress string `json:"callerAddress" toml:"callerAddress" validate:"required,hostname_port"`
 
@@ -19,6 +22,12 @@
 	// LeaseMillis Length of the leases of runs, in milliseconds.
 	LeaseMillis externalRef0.Millis `json:"leaseMillis" toml:"leaseMillis" validate:"min=500,max=600000"`
 
+	// LeaseOfDutyMillis Time for which a new holder gives no orders to machines, in milliseconds.
+	LeaseOfDutyMillis externalRef0.Millis `json:"leaseOfDutyMillis,omitempty" toml:"leaseOfDutyMillis" validate:"min=0,max=60000"`
+
+	// MachinesAddress Address of the service that moves and maintains machines; empty means none.
+	MachinesAddress string `json:"machinesAddress,omitempty" toml:"machinesAddress" validate:"omitempty,hostname_port"`
+
 	// MemoryLimit Memory of the process, in bytes.
 	MemoryLimit externalRef0.Bytes `json:"memoryLimit" toml:"memoryLimit" validate:"min=33554432"`
 
--- a/shared/identifier/identifier.go
+++ b/shared/identifier/identifier.go
@@ -39,6 +39,8 @@
 	Instance string
 	// Target names a runner or a worker.
 	Target string
+	// Machine names a machine, on which one life of a worker follows another.
+	Machine string
 	// Queue names a queue of jobs.
 	Queue string
 	// Pool names a pool of workers that serve the same queues.
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -48,12 +48,16 @@
 		Key   string
 		Body  wire.JobBody
 		Work  Work
+		// Advised means that its queue needs advice.
+		Advised bool
 	}
 
 	// Cluster is the store, the runners and the judge of what they see.
 	Cluster struct {
-		Store *Store
-		op    Options
+		Store    *Store
+		Advice   *Advice
+		machines *machines
+		op       Options
 
 		mu      sync.Mutex
 		runners []*Runner
@@ -72,6 +76,8 @@
 func New(op Options) *Cluster {
 	cl := &Cluster{Store: NewStore(), op: op, jobs: map[string]Job{}, gangs: map[string]*gang{}}
 	cl.judge = &judge{cluster: cl, done: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}}
+	cl.Advice = &Advice{cluster: cl, issued: map[string]time.Time{}}
+	cl.machines = &machines{cluster: cl, fences: map[string]string{}, upkeeps: map[string]int{}}
 	cl.faults.init()
 	for i := range op.Runners {
 		ru := &Runner{
@@ -252,6 +258,9 @@
 	return roomOf(st)
 }
 
+// advised reports whether starts of the task need a ticket.
+func (cl *Cluster) advised(key workload.TaskKey) bool { return cl.jobs[string(key.Job)].Advised }
+
 func (cl *Cluster) ganged(key workload.TaskKey) bool { return cl.step(key).Gang }
 
 func (cl *Cluster) saves(key workload.TaskKey) bool { return cl.step(key).Checkpointing }
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -30,13 +30,27 @@
 		Start(ctx context.Context, to fleet.Target, or fleet.StartOrder) (fleet.Status, error)
 		Stop(ctx context.Context, to fleet.Target, or fleet.StopOrder) (fleet.Status, error)
 		Hold(ctx context.Context, to fleet.Target, or fleet.HoldOrder) (fleet.Status, error)
+		Pace(ctx context.Context, to fleet.Target, or fleet.PaceOrder) (fleet.Status, error)
 		Reset(to fleet.Target)
 		Forget(address string)
 	}
 
+	// Advisers tells which workers may run the steps of some queues.
+	Advisers interface {
+		Advise(ctx context.Context, step string, workers []identifier.Worker) (fleet.Advice, error)
+	}
+
+	// Machines lists machines and has their upkeep begun.
+	Machines interface {
+		List(ctx context.Context) ([]fleet.Machine, error)
+		Upkeep(ctx context.Context, machine identifier.Machine, wave int64, holder identifier.Instance, fence meter.LeaseEpoch) error
+	}
+
 	// Policies gives the newest known configuration, or nil before there is one.
 	Policies interface {
 		Current() *policy.Policy
+		// Waves lists the waves of upkeep that operators ask for.
+		Waves() []fleet.Wave
 	}
 
 	// Clock also tells the time of day, at which repeated jobs come due.
@@ -61,18 +75,25 @@
 		Takeover clock.Millis
 		// StopGrace is the longest time that a stopped run takes to end.
 		StopGrace clock.Millis
+		// Settle is how long a new holder gives no orders to machines.
+		Settle clock.Millis
 		// Retention is how long ended jobs are kept.
 		Retention clock.Millis
 	}
 
 	// Parts are what a conductor works with.
 	Parts struct {
-		Store    Store
-		Workers  Workers
-		Policies Policies
-		Reports  Reports
-		Clock    Clock
-		Log      zerolog.Logger
+		Store   Store
+		Workers Workers
+		// Advisers and Machines are nil where the platform has no such service.
+		Advisers Advisers
+		Machines Machines
+		// WaveStatus encodes the row that tells operators how far a wave is.
+		WaveStatus func(number int64, completed bool) (rowstore.Put, error)
+		Policies   Policies
+		Reports    Reports
+		Clock      Clock
+		Log        zerolog.Logger
 	}
 
 	// Conductor takes the duty when it is free and decides while it holds it.
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -79,9 +79,20 @@
 
 func (te *term) submitStart(wo *worker, key workload.TaskKey, pl *placement, ta *workload.Task) {
 	now := te.Clock.Now()
+	permit, ok := te.permit(wo, key, now)
+	if !ok {
+		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the ticket has run out").Msg("startDropped")
+		if pl.ordered {
+			te.stopTask(key)
+		} else {
+			te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
+		}
+		te.poke()
+		return
+	}
 	or := fleet.StartOrder{
 		Task: key.String(), Run: pl.run, Payload: te.jobs[key.Job].job.Payload,
-		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.holder.Fence, Saved: ta.Saved,
+		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.holder.Fence, Saved: ta.Saved, Ticket: permit,
 	}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
 	pl.busy, pl.ordered, pl.unanswered = true, true, true
@@ -93,6 +104,20 @@
 	}
 }
 
+// permit returns the ticket for a start, which is empty where none is needed, and false
+// where one is needed and there is no valid one.
+func (te *term) permit(wo *worker, key workload.TaskKey, now clock.Millis) (string, bool) {
+	po := te.Policies.Current()
+	if te.Advisers == nil || po == nil {
+		return "", true
+	}
+	if qu := po.Queue(te.jobs[key.Job].job.Queue); qu == nil || !qu.Advised {
+		return "", true
+	}
+	text := te.ticket(stageKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}, wo, now)
+	return text, text != ""
+}
+
 // leaseEnd is the end of a full lease from now on, on the worker's clock. A worker that
 // does not answer gets no longer lease, so that the last one lapses in a known time.
 func (te *term) leaseEnd(wo *worker, now clock.Millis) clock.Millis {
@@ -139,6 +164,9 @@
 		te.Workers.Reset(to)
 	case eris.Is(err, fleet.ErrLate):
 		// the next try carries a later lease
+	case pl.tries == 1 && eris.Is(err, fleet.ErrNoTicket):
+		delete(te.advices, stageKey{job: key.Job, occurrence: key.Occurrence, step: key.Step})
+		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
 	case pl.tries == 1 && (eris.Is(err, fleet.ErrNoRoom) || eris.Is(err, fleet.ErrUnhealthy) || eris.Is(err, fleet.ErrRejected)):
 		te.block(wo, err)
 		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
@@ -223,6 +251,8 @@
 		if now-wo.heldAt < te.op.Lease/leaseParts {
 			return
 		}
+	case wo.serving:
+		or.Wait = servingWait
 	case busy:
 		or.Wait = lookWait
 	case wo.recorded == wo.told:
@@ -300,6 +330,7 @@
 	}
 	te.settleFormer(wo, listed, sent)
 	te.findMissing(wo, listed, sent)
+	te.pace(wo, now)
 }
 
 // applyRunning takes a run that is at work: one that a job places here, or a stray one.
@@ -315,6 +346,7 @@
 	en := te.jobs[ru.Task.Job]
 	_, ta := en.job.Task(ru.Task)
 	ta.Progress = ru.Progress
+	pl.tail = ru.Tail
 	if ru.Saved != "" {
 		ta.Saved = ru.Saved
 	}
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -67,6 +68,7 @@
 	te.lapse(now)
 	te.evacuate(now)
 	in := te.input(po, now)
+	te.advise(in, po, now)
 	pl := planner.New(in)
 	te.observe(in, pl, now)
 	for _, sp := range pl.Stops {
@@ -117,6 +119,7 @@
 		Now:        now,
 		Queues:     make(map[identifier.Queue]planner.Queue, len(po.Queues)),
 		Guarantees: make(map[identifier.Workspace]meter.Accelerators, len(po.Workspaces)),
+		Allowed:    te.allowed(po, now),
 		Waited:     func(id identifier.Job) clock.Millis { return now - te.jobs[id].arrived },
 	}
 	for i := range po.Queues {
@@ -146,7 +149,7 @@
 	pw := planner.Worker{
 		ID: wo.id, Life: wo.report.Life, Pool: wo.report.Pool, Zone: wo.report.Zone, Rack: wo.report.Rack,
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
-		Usable:  wo.reported && wo.met && !wo.report.Draining && wo.failures < failuresTrusted && now >= wo.blocked,
+		Usable:  wo.reported && wo.met && !wo.report.Draining && wo.failures < failuresTrusted && now >= wo.blocked && !wo.emptied,
 		Suspect: now < wo.suspect,
 	}
 	for key := range wo.strays {
@@ -212,7 +215,7 @@
 		ta := &st.Stage.Tasks[pl.Index]
 		ta.Phase, ta.Run, ta.Worker, ta.Life, ta.Since = workload.Starting, run, pl.Worker, pl.Life, now
 		key := st.Job.Key(st.Stage, pl.Index)
-		te.workers[pl.Worker].runs[key] = &placement{run: run, life: pl.Life, placed: now}
+		te.workers[pl.Worker].runs[key] = &placement{run: run, life: pl.Life, placed: now, pace: pacer.Full}
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
 			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].arrived)).Msg("runPlanned")
 	}
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -64,6 +64,8 @@
 		jobs map[identifier.Job]*entry
 		// workers holds every worker that reports, or that has runs.
 		workers map[identifier.Worker]*worker
+		// advices holds what the advice service has said, by step.
+		advices map[stageKey]*advice
 		// early holds the cancellations of jobs that are not known, with when they came.
 		early map[identifier.Job]clock.Millis
 		// failures holds the workers that each job has failed on.
@@ -109,6 +111,7 @@
 		mu:        locker.New(locker.RankZone),
 		jobs:      map[identifier.Job]*entry{},
 		workers:   map[identifier.Worker]*worker{},
+		advices:   map[stageKey]*advice{},
 		early:     map[identifier.Job]clock.Millis{},
 		failures:  map[identifier.Job]map[identifier.Worker]bool{},
 		confirmed: now,
@@ -130,6 +133,9 @@
 	te.tail(&tails, te.Reports.Table, reportGap, reportReader{te})
 	tails.Go(te.sweep)
 	tails.Go(te.dispatches)
+	if te.Machines != nil {
+		tails.Go(te.upkeep)
+	}
 	te.rounds()
 	te.cancel()
 	tails.Wait()
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -56,6 +57,12 @@
 		streak map[identifier.Job]bool
 		// streakRuns counts those runs.
 		streakRuns int
+		// serving means that tasks that serve run beside fillers; pacedAt is when these
+		// were last paced.
+		serving bool
+		pacedAt clock.Millis
+		// emptied means that the worker is being emptied for the upkeep of its machine.
+		emptied bool
 		// suspect is until when other workers are preferred, after a run failed here.
 		suspect clock.Millis
 		// banned doubles with each time that the worker is held back for its streak.
@@ -87,6 +94,12 @@
 		started clock.Millis
 		// placed is when the run was planned or learned.
 		placed clock.Millis
+		// pace is the share of its speed at which the run may work; pacing means that an
+		// order to change it is under way.
+		pace   meter.Percent
+		pacing bool
+		// tail is the tail of the response times that the run last reported.
+		tail clock.Millis
 		// stopped is when the worker accepted a stop; 0 means not yet.
 		stopped clock.Millis
 	}
@@ -107,7 +120,7 @@
 
 // expect notes a run that the rows place on the worker.
 func (wo *worker) expect(key workload.TaskKey, ta *workload.Task) {
-	wo.runs[key] = &placement{run: ta.Run, life: ta.Life, recorded: true, ordered: true, unanswered: true, placed: ta.Since}
+	wo.runs[key] = &placement{run: ta.Run, life: ta.Life, recorded: true, ordered: true, unanswered: true, placed: ta.Since, pace: pacer.Full}
 }
 
 // now estimates the worker's clock.
--- a/wagtailcroftd/follower/follower.go
+++ b/wagtailcroftd/follower/follower.go
@@ -3,10 +3,13 @@
 package follower
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/locker"
@@ -23,6 +26,8 @@
 	Source struct {
 		Key    rowstore.Key
 		Decode func(row rowstore.Row) (*policy.Policy, error)
+		// DecodeWave reads a wave of upkeep; its second result is false for other rows.
+		DecodeWave func(row rowstore.Row) (fleet.Wave, bool, error)
 	}
 
 	// Follower holds the newest configuration. It never goes back to an older one.
@@ -37,6 +42,8 @@
 		current *policy.Policy
 		// confirmed is the moment before which every change is known; 0 means never.
 		confirmed clock.Millis
+		// waves holds the waves of upkeep by the name of their row.
+		waves map[string]fleet.Wave
 	}
 
 	// reader takes what the tailer learns.
@@ -45,7 +52,7 @@
 
 // New returns a follower that knows nothing until Run.
 func New(so Source, st tailer.Store, cl clock.Clock, log zerolog.Logger) *Follower {
-	return &Follower{source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
+	return &Follower{waves: map[string]fleet.Wave{}, source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
 }
 
 // Run follows the configuration until ctx ends.
@@ -73,12 +80,45 @@
 // Changed takes changed rows; only the newest version of the configuration counts.
 func (re reader) Changed(rows []rowstore.Row) {
 	for _, ro := range rows {
-		if ro.Key == re.fo.source.Key && ro.Version > 0 {
+		switch {
+		case ro.Key == re.fo.source.Key && ro.Version > 0:
 			re.fo.Apply(ro)
+		case ro.Key != re.fo.source.Key:
+			re.fo.applyWave(ro)
 		}
 	}
 }
 
+func (fo *Follower) applyWave(row rowstore.Row) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if row.Version == 0 {
+		delete(fo.waves, row.Name)
+		return
+	}
+	wa, is, err := fo.source.DecodeWave(row)
+	if err != nil {
+		fo.log.Error().Err(err).Str("row", row.Name).Msg("waveUnread")
+	}
+	if !is || err != nil {
+		return
+	}
+	fo.waves[row.Name] = wa
+	fo.log.Info().Int64("wave", wa.Number).Int("machines", len(wa.Machines)).Int("most", wa.Most).Msg("waveAsked")
+}
+
+// Waves lists the waves of upkeep that operators ask for, the lowest number first.
+func (fo *Follower) Waves() []fleet.Wave {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	all := make([]fleet.Wave, 0, len(fo.waves))
+	for _, wa := range fo.waves {
+		all = append(all, wa)
+	}
+	slices.SortFunc(all, func(a, b fleet.Wave) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
+
 // Confirmed takes the moment up to which every change has been given.
 func (re reader) Confirmed(at clock.Millis) {
 	re.fo.mu.Lock()
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -56,15 +56,22 @@
 func New(set member.Settings, ou Outside) *Participant {
 	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log}
 	store := platform.NewStore(set.StoreAddress, ou.Transport)
-	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy}, store, ou.Clock, ou.Log)
+	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, ou.Clock, ou.Log)
 	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis})
-	pa.conductor = conductor.New(conductor.Parts{
+	parts := conductor.Parts{
 		Store: store, Workers: platform.NewWorkers(ou.Transport), Policies: pa.follower,
-		Reports: conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
-		Clock:   ou.Clock, Log: ou.Log,
-	}, conductor.Options{
+		Reports:    conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
+		WaveStatus: platform.EncodeWaveStatus, Clock: ou.Clock, Log: ou.Log,
+	}
+	if set.AdviceAddress != "" {
+		parts.Advisers = platform.NewAdvice(set.AdviceAddress, ou.Transport)
+	}
+	if set.MachinesAddress != "" {
+		parts.Machines = platform.NewMachines(set.MachinesAddress, ou.Transport)
+	}
+	pa.conductor = conductor.New(parts, conductor.Options{
 		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Lease: set.LeaseMillis, Takeover: set.TakeoverMillis,
-		StopGrace: set.StopGraceMillis, Retention: set.RetentionMillis,
+		StopGrace: set.StopGraceMillis, Settle: set.LeaseOfDutyMillis, Retention: set.RetentionMillis,
 	})
 	return pa
 }
--- a/wagtailcroftd/participant/scene_test.go
+++ b/wagtailcroftd/participant/scene_test.go
@@ -32,8 +32,10 @@
 	urgentPrefix = "/urgent/"
 	normalPrefix = "/normal/"
 	batchPrefix  = "/batch/"
-	aliceKey     = "alice-key"
-	bobKey       = "bob-key"
+	// advisedPrefix is that of a queue whose steps need advice.
+	advisedPrefix = "/advised/"
+	aliceKey      = "alice-key"
+	bobKey        = "bob-key"
 	// leaseTime and takeoverTime are those of the larger deployment.
 	leaseTime    = 10 * time.Second
 	takeoverTime = 2250 * time.Millisecond
@@ -75,6 +77,7 @@
 		Version: 1,
 		Routes: []wire.Route{
 			route("urgent", urgentPrefix, 0), route("normal", normalPrefix, 1), route("batch", batchPrefix, 2),
+			advised(route("advised", advisedPrefix, 1)),
 		},
 		Services: []wire.Service{{Name: fleet.Pool}},
 		Tenants: []wire.Tenant{
@@ -107,12 +110,18 @@
 	}
 }
 
+func advised(ro wire.Route) wire.Route {
+	ro.Advice = &wire.RouteAdvice{DecisionMs: 40, PerWorkerMs: 2, ValidityMs: 3000}
+	return ro
+}
+
 // begin starts a process.
 func (sc *scene) begin(name string) *instance {
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &instance{name: name, cancel: cancel, stop: make(chan struct{}), ended: make(chan struct{})}
 	in.pa = participant.New(member.Settings{
 		Instance: identifier.Instance(name), StoreAddress: fleet.StoreAddress, MemoryLimit: meter.Bytes(1 << 28),
+		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeaseOfDutyMillis: 3000,
 		LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900,
 	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Transport: sc.cluster.Transport(name)})
@@ -215,6 +224,7 @@
 		ID: fmt.Sprintf("%016x", sc.next), Queue: prefix, Key: aliceKey, Work: work,
 		Body: wire.JobBody{Spec: fmt.Sprintf("payload %d", sc.next), Steps: steps},
 	}
+	jo.Advised = prefix == advisedPrefix
 	sc.cluster.Expect(jo)
 	return jo
 }
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -23,6 +24,7 @@
 	Ended       rowstore.Table = "ended"
 	Cancels     rowstore.Table = "cancels"
 	Tallies     rowstore.Table = "tallies"
+	Waves       rowstore.Table = "waves"
 )
 
 const bitsPerByte = 8
@@ -38,6 +40,11 @@
 	return rowstore.Key{Table: ta, Name: string(id)}
 }
 
+// WaveKey is the row of a wave of upkeep.
+func WaveKey(number int64) rowstore.Key {
+	return rowstore.Key{Table: Waves, Name: strconv.FormatInt(number, 10)}
+}
+
 // Encode writes a row's value. It cannot fail on the types of package ledger.
 func Encode(value any) []byte {
 	text, err := json.Marshal(value)
