--- a/decisions/planner/hold.go
+++ b/decisions/planner/hold.go
@@ -27,7 +27,7 @@
 			best, least = chosen, cost
 		}
 	}
-	if best == nil || float64(ro.held+len(best)) > heldShare*float64(len(ro.slots)) {
+	if best == nil || ro.holdsEnough(len(best)) {
 		return
 	}
 	for _, sl := range best {
@@ -36,6 +36,11 @@
 	ro.held += len(best)
 }
 
+// holdsEnough reports whether no more slots may be kept beside those that are.
+func (ro *round) holdsEnough(more int) bool {
+	return float64(ro.held+max(more, 1)) > heldShare*float64(len(ro.slots))
+}
+
 // emptiest chooses the slots that together hold the gang with the least to wait for, and
 // tells how much that is; nil if they cannot hold it even when empty.
 func emptiest(ca candidate, slots []*slot, count int) ([]*slot, float64) {
--- a/decisions/planner/preempt.go
+++ b/decisions/planner/preempt.go
@@ -172,7 +172,7 @@
 		sl.runs = slices.DeleteFunc(sl.runs, func(ru run) bool {
 			_, going := vi.runs[unitOf(ru)]
 			if going {
-				sl.soon = sl.soon.Add(ru.job.StepOf(ru.stage).Reserved())
+				ro.change(sl, ru.job.StepOf(ru.stage).Reserved())
 			}
 			return going
 		})
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -13,6 +13,9 @@
 	// several, relative to its estimate: on several racks it takes farFactor times as long,
 	// and 3 is the least that the platform states.
 	rackPatience = 2
+	// mostPreemptions bounds the searches for others to stop in one round, which take the
+	// longest; the rounds come close together.
+	mostPreemptions = 8
 	// leastPatience bounds the wait for one rack from below, for estimates are far off.
 	leastPatience = 1500 * clock.Millis(1)
 	// mostPatience bounds it from above, within the shortest objective.
@@ -29,6 +32,12 @@
 		covered map[identifier.Job]bool
 		// held counts the slots that are kept.
 		held int
+		// preemptions counts the candidates that were searched for others to stop.
+		preemptions int
+		// spare counts the usable slots of each pool by the accelerators that will be free.
+		spare map[identifier.Pool][]int
+		// groups holds the slots by rack, in order of the rack's name.
+		groups [][]*slot
 	}
 
 	// slot is a worker with the room that the plan so far leaves.
@@ -57,10 +66,10 @@
 )
 
 func newRound(in Input) *round {
-	ro := &round{in: in, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coverage(in)}
+	ro := &round{in: in, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coverage(in), spare: map[identifier.Pool][]int{}}
 	for i := range in.Workers {
 		wo := &in.Workers[i]
-		sl := &slot{worker: wo, now: wo.Capacity, soon: wo.Capacity, planned: map[*workload.Stage]int{}}
+		sl := &slot{worker: wo, now: wo.Capacity, soon: wo.Capacity}
 		ro.slots = append(ro.slots, sl)
 		ro.byID[wo.ID] = sl
 	}
@@ -71,9 +80,52 @@
 			ro.occupy(run{job: jo, stage: st, index: index, rank: rank}, ta)
 		})
 	}
+	ro.groups = racks(ro.slots)
+	for _, sl := range ro.slots {
+		if sl.worker.Usable {
+			ro.count(sl, 1)
+		}
+	}
 	return ro
 }
 
+// count adds to the count of slots with as many spare accelerators.
+func (ro *round) count(sl *slot, by int) {
+	counts := ro.spare[sl.worker.Pool]
+	at := int(max(sl.soon.Accelerators, 0))
+	for len(counts) <= at {
+		counts = append(counts, 0)
+	}
+	counts[at] += by
+	ro.spare[sl.worker.Pool] = counts
+}
+
+// change alters the room that a slot will have.
+func (ro *round) change(sl *slot, by workload.Room) {
+	if !sl.worker.Usable {
+		sl.soon = sl.soon.Add(by)
+		return
+	}
+	ro.count(sl, -1)
+	sl.soon = sl.soon.Add(by)
+	ro.count(sl, 1)
+}
+
+// hopeless reports whether there are certainly too few accelerators for the tasks; it
+// spares the search, for in times of overload most candidates find none.
+func (ro *round) hopeless(ca candidate, count int) bool {
+	need := int(ca.step.Need.Accelerators)
+	if need == 0 {
+		return false
+	}
+	for at, slots := range ro.spare[ca.queue.Pool] {
+		if count -= slots * (at / need); count <= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // occupy takes the room of a run, also where it was ordered from a former life of the
 // worker: the present one may have carried the order out.
 func (ro *round) occupy(ru run, ta *workload.Task) {
@@ -107,19 +159,30 @@
 
 // serveTasks reports whether there is or will be room for the tasks.
 func (ro *round) serveTasks(ca candidate, indexes []int) bool {
-	slots := ro.allowed(ca, indexes)
-	if found := ro.find(ca, slots, len(indexes), free); found != nil {
-		ro.start(ca, indexes, found)
-		return true
+	hopeless := ro.hopeless(ca, len(indexes))
+	mayPreempt := ca.queue.Priority == 0 && ro.preemptions < mostPreemptions
+	mayHold := ca.step.Gang && !ro.holdsEnough(0)
+	if hopeless && !mayPreempt && !mayHold {
+		return false
 	}
-	if found := ro.find(ca, slots, len(indexes), freeSoon); found != nil {
-		ro.keep(ca, found)
-		return true
+	slots := ro.allowed(ca, indexes)
+	if !hopeless {
+		if found := ro.find(ca, slots, len(indexes), free); found != nil {
+			ro.start(ca, indexes, found)
+			return true
+		}
+		if found := ro.find(ca, slots, len(indexes), freeSoon); found != nil {
+			ro.keep(ca, found)
+			return true
+		}
 	}
-	if ca.queue.Priority == 0 && ro.preempt(ca, slots, len(indexes)) {
-		return true
+	if mayPreempt {
+		ro.preemptions++
+		if ro.preempt(ca, slots, len(indexes)) {
+			return true
+		}
 	}
-	if ca.step.Gang {
+	if mayHold {
 		ro.hold(ca, slots, len(indexes))
 	}
 	return false
@@ -140,7 +203,10 @@
 	need := ca.step.Reserved()
 	for _, sl := range found {
 		sl.now = sl.now.Sub(need)
-		sl.soon = sl.soon.Sub(need)
+		ro.change(sl, workload.Room{}.Sub(need))
+		if sl.planned == nil {
+			sl.planned = map[*workload.Stage]int{}
+		}
 		sl.planned[ca.stage]++
 	}
 }
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -51,5 +51,8 @@
 
 	// UnconfirmedMillis Age of the last confirmation of the configuration at which callers are refused, in milliseconds.
 	UnconfirmedMillis externalRef0.Millis `json:"unconfirmedMillis" toml:"unconfirmedMillis" validate:"min=500,max=60000"`
-	Zone              externalRef0.ZoneID `json:"zone" toml:"zone" validate:"required,max=63"`
+
+	// YieldMillis Time for which this instance lets others become holder first, in milliseconds; more where it has less processor.
+	YieldMillis externalRef0.Millis `json:"yieldMillis,omitempty" toml:"yieldMillis" validate:"min=0,max=5000"`
+	Zone        externalRef0.ZoneID `json:"zone" toml:"zone" validate:"required,max=63"`
 }
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -73,6 +73,8 @@
 		Lease clock.Millis
 		// Takeover is the time without a renewal after which the duty is taken.
 		Takeover clock.Millis
+		// Yield is how long this instance lets others take the duty first.
+		Yield clock.Millis
 		// StopGrace is the longest time that a stopped run takes to end.
 		StopGrace clock.Millis
 		// Settle is how long a new holder gives no orders to machines.
@@ -109,7 +111,7 @@
 // Run takes part until ctx ends; then it gives the duty up within the bound of last.
 func (co *Conductor) Run(ctx, last context.Context) {
 	for ctx.Err() == nil {
-		du := newDuty(co.Store, co.Clock, co.Log, co.op.Instance, co.op.Incarnation, co.op.Takeover)
+		du := newDuty(co.Store, co.Clock, co.Log, co.op)
 		if !du.acquire(ctx) {
 			return
 		}
--- a/wagtailcroftd/conductor/duty.go
+++ b/wagtailcroftd/conductor/duty.go
@@ -35,6 +35,8 @@
 		log      zerolog.Logger
 		me       ledger.Holder
 		takeover clock.Millis
+		// yield is how long this instance lets others go first.
+		yield clock.Millis
 
 		// holder is nil while the row is absent.
 		holder  *ledger.Holder
@@ -47,10 +49,10 @@
 	}
 )
 
-func newDuty(st Store, cl clock.Clock, log zerolog.Logger, in identifier.Instance, incarnation string, takeover clock.Millis) *duty {
+func newDuty(st Store, cl clock.Clock, log zerolog.Logger, op Options) *duty {
 	return &duty{
-		store: st, cl: cl, log: log, takeover: takeover,
-		me: ledger.Holder{Instance: in, Incarnation: incarnation},
+		store: st, cl: cl, log: log, takeover: op.Takeover, yield: op.Yield,
+		me: ledger.Holder{Instance: op.Instance, Incarnation: op.Incarnation},
 	}
 }
 
@@ -89,7 +91,7 @@
 	}
 	wait := watchWait
 	if du.unchanged > 0 {
-		wait = min(wait, max(du.unchanged+du.takeover-du.cl.Now(), 1))
+		wait = min(wait, max(du.unchanged+du.patience()-du.cl.Now(), 1))
 	}
 	bound, cancel := du.cl.Bound(ctx, wait+writeTimeout)
 	defer cancel()
@@ -125,16 +127,25 @@
 // free tells why the duty may be taken; an empty text means that it may not.
 func (du *duty) free() string {
 	switch {
+	case du.holder != nil && du.holder.Instance == du.me.Instance:
+		return "held by a former process of this instance"
+	case du.unchanged == 0 || du.cl.Now()-du.unchanged < du.patience():
+		return ""
 	case du.holder == nil:
 		return "never held"
 	case du.holder.Instance == "":
 		return "given up"
-	case du.holder.Instance == du.me.Instance:
-		return "held by a former process of this instance"
-	case du.unchanged > 0 && du.cl.Now()-du.unchanged >= du.takeover:
-		return "not renewed"
 	}
-	return ""
+	return "not renewed"
+}
+
+// patience is how long the row must have stayed as it is before this instance takes the
+// duty: instances with less processor let the others go first.
+func (du *duty) patience() clock.Millis {
+	if du.holder == nil || du.holder.Instance == "" {
+		return du.yield
+	}
+	return du.takeover + du.yield
 }
 
 // take tries to become holder with the next fence.
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -30,15 +30,18 @@
 		case <-te.wake:
 		case <-te.Clock.After(roundEvery):
 		}
+		began := te.Clock.Now()
 		te.mu.Lock()
 		te.plan()
 		ba := te.batch()
 		te.mu.Unlock()
+		planned := te.Clock.Now() - began
 		if !te.commit(ba) {
 			return
 		}
 		signal(te.due)
-		clock.Sleep(te.ctx, te.Clock, roundGap)
+		// On a slow instance callers and orders need the processor too.
+		clock.Sleep(te.ctx, te.Clock, max(roundGap, planned))
 	}
 }
 
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -70,7 +70,7 @@
 		parts.Machines = platform.NewMachines(set.MachinesAddress, ou.Transport)
 	}
 	pa.conductor = conductor.New(parts, conductor.Options{
-		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Lease: set.LeaseMillis, Takeover: set.TakeoverMillis,
+		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Lease: set.LeaseMillis, Takeover: set.TakeoverMillis, Yield: set.YieldMillis,
 		StopGrace: set.StopGraceMillis, Settle: set.LeaseOfDutyMillis, Retention: set.RetentionMillis,
 	})
 	return pa
