Look queues up by name, and renew the duty within long records

Change: a policy is indexed when it is read; advice is asked after only where a queue needs it; each part of a record renews the duty if that is due; the load line tells how long a round planned and recorded.

--- a/decisions/policy/policy.go
+++ b/decisions/policy/policy.go
@@ -21,6 +21,14 @@
 		Workspaces []Workspace
 		// BodyLimit bounds the body of a call.
 		BodyLimit meter.Bytes
+
+		// byName holds the place of each queue in Queues, byHost those of each host.
+		byName map[identifier.Queue]int
+		byHost map[string][]int
+		// owners holds the workspace of each key.
+		owners map[string]identifier.Workspace
+		// advised means that some queue needs advice.
+		advised bool
 	}
 
 	// Queue is a queue of jobs and the calls that reach it.
@@ -60,13 +68,35 @@
 	}
 )
 
+// Index prepares the lookups. It is called once, before the policy is shared.
+func (po *Policy) Index() *Policy {
+	po.byName = make(map[identifier.Queue]int, len(po.Queues))
+	po.byHost = map[string][]int{}
+	po.owners = map[string]identifier.Workspace{}
+	for i := range po.Queues {
+		qu := &po.Queues[i]
+		po.byName[qu.Name] = i
+		po.byHost[qu.Host] = append(po.byHost[qu.Host], i)
+		po.advised = po.advised || qu.Advised
+	}
+	for _, ws := range po.Workspaces {
+		for _, key := range ws.Keys {
+			po.owners[key] = ws.Name
+		}
+	}
+	return po
+}
+
+// Advised reports whether some queue needs advice.
+func (po *Policy) Advised() bool { return po.advised }
+
 // Route returns the queue of a call by its host and the longest prefix of its path, and
 // the rest of the path; nil if there is none.
 func (po *Policy) Route(host, path string) (*Queue, string) {
 	var best *Queue
-	for i := range po.Queues {
+	for _, i := range po.byHost[host] {
 		qu := &po.Queues[i]
-		if qu.Host == host && strings.HasPrefix(path, qu.Prefix) && (best == nil || len(qu.Prefix) > len(best.Prefix)) {
+		if strings.HasPrefix(path, qu.Prefix) && (best == nil || len(qu.Prefix) > len(best.Prefix)) {
 			best = qu
 		}
 	}
@@ -78,27 +108,17 @@
 
 // Owner returns the workspace that a key belongs to.
 func (po *Policy) Owner(key string) (identifier.Workspace, bool) {
-	if key == "" {
-		return "", false
-	}
-	for i := range po.Workspaces {
-		for _, known := range po.Workspaces[i].Keys {
-			if known == key {
-				return po.Workspaces[i].Name, true
-			}
-		}
-	}
-	return "", false
+	ws, known := po.owners[key]
+	return ws, known
 }
 
 // Queue returns the queue of a name, or nil.
 func (po *Policy) Queue(name identifier.Queue) *Queue {
-	for i := range po.Queues {
-		if po.Queues[i].Name == name {
-			return &po.Queues[i]
-		}
+	i, known := po.byName[name]
+	if !known {
+		return nil
 	}
-	return nil
+	return &po.Queues[i]
 }
 
 // Access is what a call may reach.
--- a/wagtailcroftd/conductor/advise.go
+++ b/wagtailcroftd/conductor/advise.go
@@ -59,7 +59,7 @@
 
 // advise asks for advice on the steps that wait for it. It is called with mu held.
 func (te *term) advise(in planner.Input, po *policy.Policy, now clock.Millis) {
-	if te.Advisers == nil {
+	if te.Advisers == nil || !po.Advised() {
 		return
 	}
 	for _, jo := range in.Jobs {
@@ -170,10 +170,13 @@
 	return ti.text
 }
 
-// allowed tells the planner which workers may run a step.
+// allowed tells the planner which workers may run a step; nil means all.
 func (te *term) allowed(po *policy.Policy, now clock.Millis) func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
+	if te.Advisers == nil || !po.Advised() {
+		return nil
+	}
 	return func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
-		if qu := po.Queue(jo.Queue); te.Advisers == nil || qu == nil || !qu.Advised {
+		if qu := po.Queue(jo.Queue); qu == nil || !qu.Advised {
 			return true
 		}
 		return te.ticket(keyOf(jo, st), te.workers[id], now) != ""
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -44,8 +44,6 @@
 		ends map[*worker]meter.EndNumber
 		// tally is nil if the tally need not be written.
 		tally map[string]int
-		// renew means that the duty must be renewed.
-		renew bool
 	}
 )
 
@@ -53,7 +51,6 @@
 func (te *term) batch() batch {
 	ba := batch{ends: map[*worker]meter.EndNumber{}}
 	now := te.Clock.Now()
-	ba.renew = now-te.renewed >= renewEvery
 	for _, en := range te.sorted() {
 		if en.dirty || (en.job.State.Final() && en.job.Quiet()) {
 			ba.changes = append(ba.changes, te.change(en))
@@ -113,11 +110,11 @@
 // conflict kept out are tried again in the next round.
 func (te *term) commit(ba batch) bool {
 	whole := true
-	renew, tally := ba.renew, ba.tally
-	for rest := ba.changes; len(rest) > 0 || renew || tally != nil; renew, tally = false, nil {
+	rest, tally := ba.changes, ba.tally
+	for len(rest) > 0 || tally != nil || te.renewalDue() {
 		part, left := split(rest)
-		rest = left
-		done, ok := te.write(part, renew, tally)
+		done, ok := te.write(part, te.renewalDue(), tally)
+		rest, tally = left, nil
 		if !ok {
 			return false
 		}
@@ -133,6 +130,9 @@
 	return true
 }
 
+// renewalDue reports whether the duty must be renewed; only the rounds renew it.
+func (te *term) renewalDue() bool { return te.Clock.Now()-te.renewed >= renewEvery }
+
 // split cuts off what fits into one transaction.
 func split(changes []change) (part, left []change) {
 	entries, size := 0, 0
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -39,6 +39,7 @@
 		if !te.commit(ba) {
 			return
 		}
+		te.took = roundTime{plan: planned, record: te.Clock.Now() - began - planned, jobs: len(ba.changes)}
 		signal(te.due)
 		// On a slow instance callers and orders need the processor too.
 		clock.Sleep(te.ctx, te.Clock, max(roundGap, planned))
@@ -200,7 +201,8 @@
 	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int64("wanted", int64(wanted)).Int("held", held).
 		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
-		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).Msg("loadSeen")
+		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
+		Int64("planMillis", int64(te.took.plan)).Int64("recordMillis", int64(te.took.record)).Int("recorded", te.took.jobs).Msg("loadSeen")
 }
 
 func (te *term) applyStop(sp planner.Stop) {
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -79,10 +79,19 @@
 		// tally is what the tally row holds; tallied is when it was written.
 		tally   map[string]int
 		tallied clock.Millis
+		// took is how long the last round took.
+		took roundTime
 		// observed is when the load was last logged.
 		observed clock.Millis
 	}
 
+	// roundTime is how long the parts of a round took.
+	roundTime struct {
+		plan, record clock.Millis
+		// jobs is the number of rows that were recorded.
+		jobs int
+	}
+
 	// entry is a job and its row.
 	entry struct {
 		job *workload.Job
