Count, time and bound what is logged, and trace an id over all instances

Cause: an on-call engineer had log lines with seconds and no metrics of the scheduler; a slow reader of the log could block the program.

--- a/shared/logger/logger.go
+++ b/shared/logger/logger.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -19,7 +20,18 @@
 	if err != nil {
 		return zerolog.Nop(), err
 	}
-	return zerolog.New(writer(w)).Level(lv).With().Timestamp().Str("instance", string(in)).Logger(), nil
+	return zerolog.New(writer(w)).Level(lv).With().Str("instance", string(in)).Logger().Hook(stamp{}), nil
+}
+
+// timeForm has milliseconds, so that the lines of several instances can be merged.
+const timeForm = "2006-01-02T15:04:05.000Z"
+
+// stamp adds the time of day to each line.
+type stamp struct{}
+
+// Run adds the time.
+func (stamp) Run(ev *zerolog.Event, _ zerolog.Level, _ string) {
+	ev.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeForm))
 }
 
 // writer turns zerolog's JSON into key=value pairs.
--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -53,7 +53,7 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdInstancesList, cmdWhy, cmdVersion,
+		cmdWorkersList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
--- a/wagtailcroftd/cmd_check_settings.go
+++ b/wagtailcroftd/cmd_check_settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/wagtailcroft/wagtailcroft/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/loader"
 )
@@ -14,10 +15,26 @@
 	Help: "Check a settings file and say what is wrong with it.",
 	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file in TOML.").Required().String()
-		return func() error { return checkSettings(*path) }
+		form := cl.Flag("form", "Whose form the file has: that of serve, or the platform's, for schedule.").Default("serve").Enum("serve", "platform")
+		return func() error {
+			if *form == "platform" {
+				return checkPlatformSettings(*path)
+			}
+			return checkSettings(*path)
+		}
 	},
 }
 
+func checkPlatformSettings(path string) error {
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is valid: instance %s in zone %s, leases of %d ms, takeover after %d ms\n",
+		path, set.Instance, set.Zone, set.LeaseMillis, set.TakeoverMillis)
+	return nil
+}
+
 func checkSettings(path string) error {
 	set, err := loader.Load(path)
 	if err != nil {
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -20,6 +20,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
 )
 
@@ -47,14 +48,17 @@
 	}
 	debug.SetMemoryLimit(int64(float64(set.MemoryLimit) * memoryShare))
 	debug.SetGCPercent(garbagePercent)
-	log, err := logger.New(os.Stdout, "info", set.Instance)
+	meters := instrumenter.New()
+	meters.Publish("scheduler")
+	log, err := logger.New(logger.Unblocking(os.Stdout, meters), "info", set.Instance)
 	if err != nil {
 		return err
 	}
+	log = logger.Bound(log, meters)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cl := clock.New()
-	pa := participant.New(set, participant.Outside{Clock: cl, Log: log})
+	pa := participant.New(set, participant.Outside{Clock: cl, Log: log, Meters: meters})
 	servers, err := listen(set, pa, log)
 	if err != nil {
 		return err
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -166,14 +166,17 @@
 		ctx, cancel := te.Clock.Bound(te.ctx, writeTimeout)
 		version, err := te.Store.Write(ctx, tr)
 		cancel()
+		te.Meters.Took("record", te.Clock.Now()-sent)
 		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
+			te.Meters.Count("records", "done")
 			te.written(changes, version, renew, next, tally, sent)
 			return true, true
 		case eris.As(err, &conflict):
 			return te.resolve(changes, conflict, renew, next, tally, sent)
 		case eris.Is(err, rowstore.ErrNotDone) || eris.Is(err, rowstore.ErrUnknown):
+			te.Meters.Count("records", "delayed")
 			te.log.Warn().Err(err).Int("try", tries).Int("jobs", len(changes)).Msg("recordDelayed")
 			te.Store.Reset()
 			clock.Sleep(te.ctx, te.Clock, retryPause)
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -59,6 +59,12 @@
 		TimeOfDay() clock.Millis
 	}
 
+	// Meters counts events and times.
+	Meters interface {
+		Count(name, label string)
+		Took(name string, d clock.Millis)
+	}
+
 	// Reports is where the workers report and how a report is read.
 	Reports struct {
 		Table  rowstore.Table
@@ -95,6 +101,7 @@
 		Policies   Policies
 		Reports    Reports
 		Clock      Clock
+		Meters     Meters
 		Log        zerolog.Logger
 	}
 
@@ -111,7 +118,7 @@
 // Run takes part until ctx ends; then it gives the duty up within the bound of last.
 func (co *Conductor) Run(ctx, last context.Context) {
 	for ctx.Err() == nil {
-		du := newDuty(co.Store, co.Clock, co.Log, co.op)
+		du := newDuty(co.Store, co.Clock, co.Log, co.Meters, co.op)
 		if !du.acquire(ctx) {
 			return
 		}
--- a/wagtailcroftd/conductor/duty.go
+++ b/wagtailcroftd/conductor/duty.go
@@ -33,6 +33,7 @@
 		store    Store
 		cl       clock.Clock
 		log      zerolog.Logger
+		meters   Meters
 		me       ledger.Holder
 		takeover clock.Millis
 		// yield is how long this instance lets others go first.
@@ -49,9 +50,9 @@
 	}
 )
 
-func newDuty(st Store, cl clock.Clock, log zerolog.Logger, op Options) *duty {
+func newDuty(st Store, cl clock.Clock, log zerolog.Logger, me Meters, op Options) *duty {
 	return &duty{
-		store: st, cl: cl, log: log, takeover: op.Takeover, yield: op.Yield,
+		store: st, cl: cl, log: log, meters: me, takeover: op.Takeover, yield: op.Yield,
 		me: ledger.Holder{Instance: op.Instance, Incarnation: op.Incarnation},
 	}
 }
@@ -163,6 +164,7 @@
 		du.after, du.unchanged = 0, 0
 		return false
 	}
+	du.meters.Count("takeovers", why)
 	du.log.Info().Str("why", why).Str("former", string(former)).Int64("fence", int64(next.Fence)).
 		Int64("unchangedMillis", int64(du.cl.Now()-du.unchanged)).Msg("dutyTaken")
 	du.holder, du.version = &next, version
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -139,6 +139,8 @@
 	pl.after = now + orderPause
 	te.log.Info().Str("task", or.Task).Int64("run", int64(or.Run)).Str("worker", string(wo.id)).Int("try", pl.tries).
 		Bool("resumed", or.Saved != "").Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("startOrdered")
+	te.Meters.Took("start", now-sent)
+	te.Meters.Count("starts", refused(err))
 	if te.heard(wo, st, err, now) {
 		return
 	}
@@ -176,6 +178,17 @@
 	}
 }
 
+// refused names the answer to an order for the metrics.
+func refused(err error) string {
+	switch {
+	case err == nil:
+		return "taken"
+	case eris.Is(err, fleet.ErrSilent):
+		return "silent"
+	}
+	return "refused"
+}
+
 func (te *term) submitStop(wo *worker, key workload.TaskKey, pl *placement) {
 	if wo.report.Address == "" {
 		return
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -224,5 +224,8 @@
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
 			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].arrived)).Msg("runPlanned")
 	}
+	if run == 1 {
+		te.Meters.Took("wait", now-te.jobs[st.Job.ID].arrived)
+	}
 	te.jobs[st.Job.ID].dirty = true
 }
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -265,10 +265,13 @@
 		return
 	}
 	en.dirty = true
+	te.Meters.Count("ends", end.How.String())
 	te.judge(wo, key.Job, end.How)
 	te.log.Info().Str("task", key.String()).Int64("run", int64(end.Run)).Str("worker", string(wo.id)).Str("how", end.How.String()).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.Since)).Int("failures", max(ta.Failures, st.Failures)).Msg("runEnded")
 	if state != en.job.State {
+		te.Meters.Count("jobs", en.job.State.String())
+		te.Meters.Took("completion", te.Clock.TimeOfDay()-en.job.Accepted)
 		te.log.Info().Str("job", string(key.Job)).Str("state", en.job.State.String()).Str("why", en.job.Reason).
 			Int64("ageMillis", int64(te.Clock.TimeOfDay()-en.job.Accepted)).Msg("jobEnded")
 	}
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -59,6 +59,12 @@
 		Apply(row rowstore.Row)
 	}
 
+	// Meters counts events and times.
+	Meters interface {
+		Count(name, label string)
+		Took(name string, d clock.Millis)
+	}
+
 	// Clock also tells the time of day, which stamps what is accepted.
 	Clock interface {
 		clock.Clock
@@ -72,6 +78,7 @@
 		// policyKey is the row of the configuration, on which every write is conditioned.
 		policyKey rowstore.Key
 		cl        Clock
+		meters    Meters
 		log       zerolog.Logger
 		// unconfirmed is the age of the configuration from which callers are refused.
 		unconfirmed clock.Millis
@@ -90,13 +97,14 @@
 	Options struct {
 		PolicyKey   rowstore.Key
 		Unconfirmed clock.Millis
+		Meters      Meters
 	}
 )
 
 // New returns an intake.
 func New(st Store, po Policies, cl Clock, log zerolog.Logger, op Options) *Intake {
 	return &Intake{
-		store: st, policies: po, policyKey: op.PolicyKey, cl: cl, log: log, unconfirmed: op.Unconfirmed,
+		store: st, policies: po, policyKey: op.PolicyKey, cl: cl, log: log, meters: op.Meters, unconfirmed: op.Unconfirmed,
 		mu: locker.New(locker.RankAdmission),
 	}
 }
@@ -134,7 +142,10 @@
 			{Key: jobs, Value: recorder.Encode(ledger.Progress{State: ledger.ProgressState(workload.Queued.String())})},
 		},
 	}
+	began := in.cl.Now()
 	err := in.write(ctx, tr)
+	in.meters.Took("submit", in.cl.Now()-began)
+	in.meters.Count("submits", outcome(err))
 	var conflict *rowstore.ConflictError
 	if eris.As(err, &conflict) {
 		if conflict.Row(jobs).Version > 0 || conflict.Row(ended).Version > 0 {
@@ -148,6 +159,18 @@
 	return err
 }
 
+// outcome names what became of a write for the metrics.
+func outcome(err error) string {
+	var conflict *rowstore.ConflictError
+	switch {
+	case err == nil:
+		return "accepted"
+	case eris.As(err, &conflict):
+		return "conflict"
+	}
+	return string(problem.KindOf(err))
+}
+
 // changed takes a newer configuration from a conflict; the call is to be resolved again.
 func (in *Intake) changed(co *rowstore.ConflictError) error {
 	row := co.Row(in.policyKey)
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -35,6 +35,8 @@
 	Outside struct {
 		Clock Clock
 		Log   zerolog.Logger
+		// Meters counts events and times.
+		Meters conductor.Meters
 		// Transport carries the calls to the platform; nil stands for TCP.
 		Transport http.RoundTripper
 	}
@@ -57,11 +59,11 @@
 	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log}
 	store := platform.NewStore(set.StoreAddress, ou.Transport)
 	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, ou.Clock, ou.Log)
-	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis})
+	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis, Meters: ou.Meters})
 	parts := conductor.Parts{
 		Store: store, Workers: platform.NewWorkers(ou.Transport), Policies: pa.follower,
 		Reports:    conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
-		WaveStatus: platform.EncodeWaveStatus, Clock: ou.Clock, Log: ou.Log,
+		WaveStatus: platform.EncodeWaveStatus, Clock: ou.Clock, Meters: ou.Meters, Log: ou.Log,
 	}
 	if set.AdviceAddress != "" {
 		parts.Advisers = platform.NewAdvice(set.AdviceAddress, ou.Transport)
--- a/wagtailcroftd/participant/scene_test.go
+++ b/wagtailcroftd/participant/scene_test.go
@@ -25,6 +25,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
 )
 
@@ -124,7 +125,7 @@
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeaseOfDutyMillis: 3000,
 		LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900,
-	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Transport: sc.cluster.Transport(name)})
+	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Meters: instrumenter.New(), Transport: sc.cluster.Transport(name)})
 	go func() {
 		defer close(in.ended)
 		in.pa.Run(ctx, in.stop)
