--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: help build demo test lint generate check-generated bench fuzz faults slopes lines
+.PHONY: help build demo test lint generate check-generated bench fuzz soak faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -40,6 +40,10 @@
 	@seed=$$(date +%s); echo "WAGTAILCROFT_SEED=$$seed"; \
 	for m in $(MODULES); do (cd $$m && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=5000 go test -tags rankcheck -run 'Always|Faults' ./...) || exit 1; done
 
+soak: ## several instances under random faults, 2000 plays with a fresh seed that is printed, about two minutes
+	@seed=$${WAGTAILCROFT_SEED:-$$(date +%s)}; echo "WAGTAILCROFT_SEED=$$seed"; \
+	cd wagtailcroftd && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=2000 go test -count=1 -timeout 20m -run TestAlways ./participant
+
 lint: $(BIN)/golangci-lint ## gofmt and golangci-lint
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); exit 1; }
 	@for m in $(MODULES); do (cd $$m && $(BIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
