Never forget the ends of a worker's new life by its former one's numbers

Cause: found by make soak: a worker crashed and was back before it was listed anew; the next look told it to forget its ends up to the number that its former life had reached, and so the end of a run that had finished. The run was taken as lost and done again. A record that ended after the new life was known also set its number.

Change: a number of ends is passed on only if there is a new one and the life that counted it answered within the last 250 ms; otherwise the life is asked first. Also: while a write has got no answer, new ones wait up to 0.8 s and are then refused with certainty; a first try is bounded by how long the store took lately.

Measured: the new test fails before and passes after.

Conclusion: the numbers of ends were the cause.

--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -65,6 +65,8 @@
 		jobs  map[string]Job
 		gangs map[string]*gang
 		judge *judge
+		// lag is how long after its start a runner is listed.
+		lag time.Duration
 		// Trace takes a line for what a runner does; nil drops it. It is set before any call.
 		Trace func(line string)
 		// faults holds what is wrong between machines.
@@ -102,7 +104,23 @@
 		close(ru.changed)
 	}
 	ru.changed = make(chan struct{})
-	ru.cluster.Store.Put("servers", ru.id, ru.entry())
+	if ru.cluster.lag == 0 {
+		ru.cluster.Store.Put("servers", ru.id, ru.entry())
+		return
+	}
+	born := ru.born
+	ru.cluster.after(ru.cluster.lag, func() {
+		if ru.up && ru.born.Equal(born) {
+			ru.cluster.Store.Put("servers", ru.id, ru.entry())
+		}
+	})
+}
+
+// Lag makes the list of runners late.
+func (cl *Cluster) Lag(d time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.lag = d
 }
 
 // after runs fn later, with the cluster's mutex held.
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -37,11 +37,17 @@
 		runs []*placement
 	}
 
+	// lastEnd is the number of an end of one life of a worker.
+	lastEnd struct {
+		life   workload.Life
+		number meter.EndNumber
+	}
+
 	// batch is what one round records.
 	batch struct {
 		changes []change
 		// ends holds, for each worker, the number of the last end that the batch shows.
-		ends map[*worker]meter.EndNumber
+		ends map[*worker]lastEnd
 		// tally is nil if the tally need not be written.
 		tally map[string]int
 	}
@@ -49,7 +55,7 @@
 
 // batch collects what has changed. It is called with mu held.
 func (te *term) batch() batch {
-	ba := batch{ends: map[*worker]meter.EndNumber{}}
+	ba := batch{ends: map[*worker]lastEnd{}}
 	now := te.Clock.Now()
 	for _, en := range te.sorted() {
 		if en.dirty || (en.job.State.Final() && en.job.Quiet()) {
@@ -59,7 +65,7 @@
 	}
 	for _, wo := range te.workers {
 		if wo.applied > wo.recorded {
-			ba.ends[wo] = wo.applied
+			ba.ends[wo] = lastEnd{life: wo.report.Life, number: wo.applied}
 		}
 	}
 	if tally := te.count(); te.loaded && now-te.tallied >= tallyEvery && !maps.Equal(tally, te.tally) {
@@ -122,8 +128,10 @@
 	}
 	if whole {
 		te.mu.Lock()
-		for wo, number := range ba.ends {
-			wo.recorded = max(wo.recorded, number)
+		for wo, last := range ba.ends {
+			if wo.report.Life == last.life {
+				wo.recorded = max(wo.recorded, last.number)
+			}
 		}
 		te.mu.Unlock()
 	}
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -18,6 +18,9 @@
 	lookWait = 2000 * clock.Millis(1)
 	// lookSlack is the time that an answer may take beyond that.
 	lookSlack = 700 * clock.Millis(1)
+	// sameLife is how soon after an answer a worker certainly still has the life that gave
+	// it: no worker crashes and is back within it.
+	sameLife = 250 * clock.Millis(1)
 	// firstLookPause and longestLookPause bound the pause after a failed look.
 	firstLookPause   = 100 * clock.Millis(1)
 	longestLookPause = 1000 * clock.Millis(1)
@@ -255,7 +258,7 @@
 		return
 	}
 	busy := len(wo.runs)+len(wo.strays) > 0
-	or := fleet.HoldOrder{Fence: te.duty.holder.Fence, Seen: wo.recorded}
+	or := fleet.HoldOrder{Fence: te.duty.holder.Fence}
 	switch {
 	case (!wo.met || wo.failures > 0) && (wo.reported || busy):
 		// A worker must answer before it gets work, or gets it again.
@@ -264,6 +267,13 @@
 		if now-wo.heldAt < te.op.Lease/leaseParts {
 			return
 		}
+	case wo.recorded > wo.told && now-wo.lifeAt > sameLife:
+		// Another life may be there by now, whose ends have the same numbers.
+	case wo.recorded > wo.told:
+		or.Seen, or.Wait = wo.recorded, lookWait
+		if !busy {
+			or.Wait = 0
+		}
 	case wo.serving:
 		or.Wait = servingWait
 	case busy:
@@ -328,7 +338,7 @@
 		// A former holder may have given any lease, which the worker cuts to the full length.
 		wo.leaseEnd = max(wo.leaseEnd, st.Clock+te.op.Lease)
 	}
-	wo.met, wo.heldAt = true, sent
+	wo.met, wo.heldAt, wo.lifeAt = true, sent, now
 	wo.told = max(wo.told, or.Seen)
 	for _, en := range st.Ended {
 		if en.Number > wo.applied {
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -39,6 +39,9 @@
 		// heldAt is when the last answered hold was sent.
 		heldAt clock.Millis
 
+		// lifeAt is when the life last answered with its name.
+		lifeAt clock.Millis
+
 		// applied is the number of the last end that the jobs show, recorded is that of the
 		// last one that the store holds, and told is that of the last one passed to the worker.
 		applied  meter.EndNumber
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -36,9 +36,13 @@
 	outagePause = 250 * clock.Millis(1)
 	// tallyAge is how old a count of waiting jobs may be, of the 2 s that the platform allows.
 	tallyAge = 400 * clock.Millis(1)
-	// firstTry bounds the first try of a call to the store, which answers within 10 ms as a
-	// rule; each further try may take three times as long as the one before.
-	firstTry = 250 * clock.Millis(1)
+	// overduePatience is how long a new write waits while another has got no answer. A write
+	// that is not sent can be refused with certainty, one without an answer cannot.
+	overduePatience = 800 * clock.Millis(1)
+	// leastTry bounds a try of a call to the store from below; the store answers within
+	// 10 ms as a rule. A try may take three times as long as the store took lately, and each
+	// further try three times as long as the one before.
+	leastTry = 250 * clock.Millis(1)
 	tryRise  = 3
 	// retryPause lies between two tries.
 	retryPause = 30 * clock.Millis(1)
@@ -84,6 +88,12 @@
 		unconfirmed clock.Millis
 
 		mu locker.Mutex
+		// overdue counts the writes whose first try was not answered; settled is closed when
+		// there is none any more.
+		overdue int
+		settled chan struct{}
+		// latency is how long the store took lately; it falls slowly.
+		latency clock.Millis
 		// failedAt is when the store last failed; 0 means that the last call succeeded.
 		failedAt clock.Millis
 		// lostAt is when the present or the last outage began.
@@ -130,7 +140,7 @@
 // Submit stores a job. A job that is stored already counts as accepted. Errors of the
 // outcome NotRun are certain: the job is not stored and will not be.
 func (in *Intake) Submit(ctx context.Context, ac policy.Access, jo *workload.Job) error {
-	if in.failing() {
+	if in.failing() || !in.answers(ctx) {
 		return in.refusal("the store has just failed")
 	}
 	jo.Queue, jo.Workspace, jo.Accepted = ac.Queue.Name, ac.Workspace, in.cl.TimeOfDay()
--- a/wagtailcroftd/intake/store.go
+++ b/wagtailcroftd/intake/store.go
@@ -17,20 +17,28 @@
 	ctx, giveUp := in.cl.Bound(ctx, patience)
 	defer giveUp()
 	uncertain := false
-	for most := firstTry; ; most *= tryRise {
+	defer func() {
+		if uncertain {
+			in.settle()
+		}
+	}()
+	for most := in.firstTry(); ; most *= tryRise {
+		began := in.cl.Now()
 		bound, cancel := in.cl.Bound(ctx, most)
 		_, err := in.store.Write(bound, tr)
 		cancel()
 		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil || eris.As(err, &conflict):
-			in.succeeded()
+			in.succeeded(in.cl.Now() - began)
 			return err
 		case eris.Is(err, rowstore.ErrUnknown):
 			if uncertain {
 				in.failed(err) // not just slow: others are refused at once meanwhile
+			} else {
+				uncertain = true
+				in.delay()
 			}
-			uncertain = true
 			in.store.Reset()
 		case !eris.Is(err, rowstore.ErrNotDone):
 			return err
@@ -50,12 +58,13 @@
 func (in *Intake) read(ctx context.Context, key rowstore.Key) (rowstore.Row, error) {
 	ctx, giveUp := in.cl.Bound(ctx, patience)
 	defer giveUp()
-	for most := firstTry; ; most *= tryRise {
+	for most := in.firstTry(); ; most *= tryRise {
+		began := in.cl.Now()
 		bound, cancel := in.cl.Bound(ctx, most)
 		page, err := in.store.Read(bound, key.Table, key.Name, key.Name+"\x00", 1)
 		cancel()
 		if err == nil {
-			in.succeeded()
+			in.succeeded(in.cl.Now() - began)
 			if len(page.Rows) == 0 {
 				return rowstore.Row{Key: key}, nil
 			}
@@ -69,9 +78,54 @@
 	}
 }
 
-func (in *Intake) succeeded() {
+// delay notes that a write has got no answer yet.
+func (in *Intake) delay() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.overdue == 0 {
+		in.settled = make(chan struct{})
+	}
+	in.overdue++
+}
+
+// settle notes that such a write has ended.
+func (in *Intake) settle() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.overdue--; in.overdue == 0 {
+		close(in.settled)
+	}
+}
+
+// answers waits, if a write has got no answer yet, until that is settled, and reports
+// whether the store is then worth a try.
+func (in *Intake) answers(ctx context.Context) bool {
+	in.mu.Lock()
+	overdue, settled := in.overdue, in.settled
+	in.mu.Unlock()
+	if overdue == 0 {
+		return true
+	}
+	select {
+	case <-settled:
+		return !in.failing()
+	case <-in.cl.After(overduePatience):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// firstTry bounds the first try of a call by how long the store took lately.
+func (in *Intake) firstTry() clock.Millis {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return min(max(tryRise*in.latency, leastTry), patience)
+}
+
+func (in *Intake) succeeded(took clock.Millis) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.latency = max(took, (3*in.latency+took)/4)
 	if in.failedAt > 0 {
 		in.log.Info().Int64("lostMillis", int64(in.cl.Now()-in.lostAt)).Msg("storeRegained")
 	}
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -167,6 +167,22 @@
 			asserter.Equal(t, sc.cluster.Runs(), 1)
 		})
 	})
+	t.Run("while one submission has no answer, others are refused with certainty", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			sc.cluster.StoreOutage("i-0", fleet.Silent)
+			statuses := make(chan int, 5)
+			for i := range 5 {
+				jo := sc.job(normalPrefix, seconds(1), tasks(1, 1))
+				time.AfterFunc(time.Duration(300*i)*time.Millisecond, func() { statuses <- sc.submit(0, jo) })
+			}
+			count := map[int]int{}
+			for range 5 {
+				count[<-statuses]++
+			}
+			asserter.Equal(t, count[http.StatusGatewayTimeout], 1)
+			asserter.Equal(t, count[http.StatusServiceUnavailable], 4)
+		})
+	})
 	t.Run("a submission that the store never answers is not said to be refused", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			sc.cluster.StoreOutage("i-0", fleet.Silent)
@@ -253,6 +269,17 @@
 			sc.becomes(0, jo, "completed", 40*time.Second)
 		})
 	})
+	t.Run("the ends of a new life are not forgotten by the numbers of the former one", func(t *testing.T) {
+		play(t, 3, 1, func(sc *scene) {
+			sc.becomes(0, sc.accepted(0, sc.job(normalPrefix, seconds(0.5), tasks(6, 1))), "completed", 3*time.Second)
+			sc.sleep(time.Second)
+			sc.cluster.Lag(3 * time.Second)
+			sc.cluster.Crash(0, 900*time.Millisecond)
+			jo := sc.accepted(0, sc.job(normalPrefix, seconds(0.05), tasks(1, 1)))
+			sc.becomes(0, jo, "completed", 6*time.Second)
+			asserter.Equal(t, sc.cluster.Runs(), 7)
+		})
+	})
 	t.Run("a worker that comes back idle is used again", func(t *testing.T) {
 		play(t, 3, 1, func(sc *scene) {
 			jo := sc.accepted(0, sc.job(normalPrefix, seconds(3), tasks(2, 2)))
