Decide only with a configuration, and notice silent connections in time

Change: the duty is taken only with a configuration; attempts are checked anew in each round; tables are followed in waits of 1 s; an unanswered start on a leaving worker is settled by a stop.

--- a/decisions/workload/changes.go
+++ b/decisions/workload/changes.go
@@ -73,12 +73,35 @@
 		}
 		count = st.Failures
 	}
-	if step.Lasting || attempts <= 0 || count < attempts || jo.State.Final() {
-		return
+	jo.exhaust(st, count, attempts)
+}
+
+// exhaust fails the job if a task or gang of the stage has used up its attempts.
+func (jo *Job) exhaust(st *Stage, count, attempts int) bool {
+	if jo.StepOf(st).Lasting || attempts <= 0 || count < attempts || jo.State.Final() {
+		return false
 	}
 	jo.State = Failed
 	jo.Reason = fmt.Sprintf("step %d failed %d times", st.Step, count)
 	jo.Stop()
+	return true
+}
+
+// Exhaust fails the job if a task or gang has used up its attempts, which may have become
+// fewer, or known, since its last failure. It reports whether that changed anything.
+func (jo *Job) Exhaust(attempts int) bool {
+	for _, st := range jo.Stages {
+		count := st.Failures
+		for i := range st.Tasks {
+			if !jo.StepOf(st).Gang && st.Tasks[i].Phase != Done {
+				count = max(count, st.Tasks[i].Failures)
+			}
+		}
+		if count > 0 && !st.Finished() && jo.exhaust(st, count, attempts) {
+			return true
+		}
+	}
+	return false
 }
 
 // failedRun reports whether the run of ta is the first of its number to fail.
--- a/decisions/workload/workload_test.go
+++ b/decisions/workload/workload_test.go
@@ -69,6 +69,16 @@
 		asserter.Equal(t, jo.State, workload.Failed)
 		asserter.Equal(t, jo.Stage(0, 0).Tasks[1].Phase, workload.Stopping)
 	})
+	t.Run("attempts that become known, or fewer, later count too", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 1})
+		for range 2 {
+			start(jo, 0)
+			end(jo, 0, 0, workload.EndFailed, 0)
+		}
+		asserter.Equal(t, jo.Exhaust(3), false)
+		asserter.Equal(t, jo.Exhaust(2), true)
+		asserter.Equal(t, jo.State, workload.Failed)
+	})
 	t.Run("only failed runs use up attempts", func(t *testing.T) {
 		jo := newJob(workload.Step{Count: 1})
 		for _, how := range []workload.Ending{workload.EndStopped, workload.EndLapsed, workload.EndBroken, workload.EndAlone, workload.EndLost} {
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -16,6 +16,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 )
 
+// policyPause lies between two looks for the first configuration.
+const policyPause = 20 * clock.Millis(1)
+
 type (
 	// Store is what the conductor needs of the table service.
 	Store interface {
@@ -117,6 +120,12 @@
 
 // Run takes part until ctx ends; then it gives the duty up within the bound of last.
 func (co *Conductor) Run(ctx, last context.Context) {
+	// Without a configuration nobody can tell how often a task may fail.
+	for co.Policies.Current() == nil {
+		if !clock.Sleep(ctx, co.Clock, policyPause) {
+			return
+		}
+	}
 	for ctx.Err() == nil {
 		du := newDuty(co.Store, co.Clock, co.Log, co.Meters, co.op)
 		if !du.acquire(ctx) {
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -65,7 +65,11 @@
 			return
 		}
 		te.submitStop(wo, key, pl)
-	case ta.Phase == workload.Starting && wo.report.Draining && !pl.ordered:
+	case ta.Phase == workload.Starting && wo.report.Draining && pl.ordered:
+		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker leaves").Msg("startGivenUp")
+		te.stopTask(key)
+		te.poke()
+	case ta.Phase == workload.Starting && wo.report.Draining:
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker leaves").Msg("startDropped")
 		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
 		te.poke()
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -138,6 +138,10 @@
 		if !en.job.State.Final() && en.job.Due(timeOfDay) > 0 && len(en.job.Stages) == 0 {
 			continue
 		}
+		if qu, known := in.Queues[en.job.Queue]; known && en.job.Exhaust(qu.Attempts) {
+			en.dirty = true
+			te.log.Info().Str("job", string(en.job.ID)).Str("state", en.job.State.String()).Str("why", en.job.Reason).Msg("jobEnded")
+		}
 		in.Jobs = append(in.Jobs, en.job)
 	}
 	for _, wo := range te.workers {
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -32,8 +32,10 @@
 	roundGap = 15 * clock.Millis(1)
 	// roundEvery is the longest time between two rounds.
 	roundEvery = 250 * clock.Millis(1)
-	// changesWait is how long the store may wait for a change of a table.
-	changesWait = 5000 * clock.Millis(1)
+	// changesWait is how long the store may wait for a change of a table. A connection may
+	// fall silent for good; with the slack of the tailer that is noticed within the 2 s in
+	// which a leaving worker must get no more work.
+	changesWait = 1000 * clock.Millis(1)
 	// reportGap lets the reports of workers gather, within the time in which a leaving
 	// worker must get no more work.
 	reportGap = 150 * clock.Millis(1)
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -96,6 +96,31 @@
 			sc.becomes(sc.holder(), jo, "completed", 20*time.Second)
 		})
 	})
+	t.Run("attempts are counted also when all processes start anew", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			var jobs []fleet.Job
+			for i := range 24 {
+				work := time.Duration(800+10*i) * time.Millisecond
+				jobs = append(jobs, sc.accepted(0, sc.job(normalPrefix, fleet.Work{Time: work, Failing: 99}, tasks(1, 1))))
+				sc.sleep(450 * time.Millisecond)
+				for i := range sc.instances {
+					sc.kill(i)
+				}
+				// The duty may be read before the configuration, or after it.
+				sc.cluster.StoreOutage("", fleet.Busy)
+				for i := range sc.instances {
+					sc.restart(i)
+				}
+				sc.sleep(time.Duration(i) * 10 * time.Millisecond)
+				sc.cluster.StoreOutage("", fleet.Reachable)
+				sc.sleep(time.Second)
+			}
+			for _, jo := range jobs {
+				sc.becomes(0, jo, "failed", 20*time.Second)
+			}
+			asserter.Equal(t, sc.cluster.Runs(), 3*len(jobs))
+		})
+	})
 	t.Run("an end that is not recorded is not forgotten", func(t *testing.T) {
 		play(t, 3, 2, func(sc *scene) {
 			jo := sc.accepted(0, sc.job(normalPrefix, seconds(2), tasks(2, 2)))
--- a/wagtailcroftd/participant/fuzz_test.go
+++ b/wagtailcroftd/participant/fuzz_test.go
@@ -103,7 +103,7 @@
 			playIn(recorder{}, fuzzInstances, fuzzRunners, func(sc *scene) { sc.perform(script) })
 		})
 		if failed != nil {
-			fmt.Fprint(os.Stderr, story.String())
+			_, _ = fmt.Fprintf(os.Stderr, "%sFAILED: %s\n", story.String(), failed.text) // for whoever looks into it
 			rt.Fatalf("%s", failed.text)
 		}
 	})
