Let gangs wait longer for one rack, if a rack can hold them

Change: the wait is 6 times the estimate, from 1.5 s to 12 s; 4 s for urgent work beyond its guarantee, 1.5 s within it; none where no rack can hold the gang.

--- a/decisions/planner/planner_test.go
+++ b/decisions/planner/planner_test.go
@@ -123,6 +123,12 @@
 		sc.Waited = func(identifier.Job) clock.Millis { return clock.Minute }
 		asserter.Equal(t, sc.racksOf(planner.New(sc.Input), jo), 2)
 	})
+	t.Run("a gang that no rack can hold does not wait for one", func(t *testing.T) {
+		sc := newScene(4, 2)
+		jo := sc.add(later, "ws", gang(3, 8))
+		sc.Waited = func(identifier.Job) clock.Millis { return 0 }
+		asserter.Equal(t, starts(planner.New(sc.Input), jo), 3)
+	})
 	t.Run("small tasks fill used workers first", func(t *testing.T) {
 		sc := newScene(4, 4)
 		sc.run(sc.add(later, "ws", step(1, 4)), 2)
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -11,9 +11,10 @@
 
 const (
 	// rackPatience is how long a gang waits for room on one rack before it is spread over
-	// several, relative to its estimate: on several racks it takes farFactor times as long,
-	// and 3 is the least that the platform states.
-	rackPatience = 2
+	// several, relative to its estimate. On several racks it takes farFactor times as long,
+	// at least 3, which is what a wait of twice its time costs; the estimates of the users
+	// are off by a factor of up to 3 beside that.
+	rackPatience = 6
 	// mostPreemptions bounds the searches for others to stop in one round, which take the
 	// longest; the rounds come close together.
 	mostPreemptions = 8
@@ -21,8 +22,11 @@
 	mostHolds = 6
 	// leastPatience bounds the wait for one rack from below, for estimates are far off.
 	leastPatience = 1500 * clock.Millis(1)
-	// mostPatience bounds it from above, within the shortest objective.
-	mostPatience = 4 * clock.Second
+	// urgentPatience bounds it for urgent work beyond its guarantee, whose objective is 4 s.
+	urgentPatience = 4 * clock.Second
+	// mostPatience bounds it from above: room on one rack comes free within about two runs
+	// of the longest tasks, 11 s, where workers are kept for the gang.
+	mostPatience = 12 * clock.Second
 )
 
 type (
@@ -237,7 +241,7 @@
 	if found := packRack(ca, slots, count, view); found != nil {
 		return found
 	}
-	if ro.patient(ca) {
+	if ro.patient(ca) && fitting(slots, ca.step.Reserved()) >= count {
 		return nil
 	}
 	return pack(ca, slots, count, view)
@@ -246,8 +250,11 @@
 // patient reports whether the candidate is still better off waiting for its rack.
 func (ro *round) patient(ca candidate) bool {
 	most := min(max(rackPatience*ca.step.Estimate, leastPatience), mostPatience)
-	if ca.rank == rankGuaranteed {
+	switch {
+	case ca.rank == rankGuaranteed:
 		most = leastPatience
+	case ca.queue.Priority == 0:
+		most = min(most, urgentPatience)
 	}
 	return ro.in.Waited(ca.job.ID) < most
 }
