--- /dev/null
+++ b/decisions/planner/pack.go
@@ -0,0 +1,116 @@
+package planner
+
+import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+)
+
+func onRack(slots []*slot, rack identifier.Rack) []*slot {
+	var some []*slot
+	for _, sl := range slots {
+		if sl.worker.Rack == rack {
+			some = append(some, sl)
+		}
+	}
+	return some
+}
+
+// racks groups slots, which are in order of their rack, by rack.
+func racks(slots []*slot) [][]*slot {
+	var all [][]*slot
+	from := 0
+	for i := 1; i <= len(slots); i++ {
+		if i == len(slots) || slots[i].worker.Rack != slots[from].worker.Rack {
+			all = append(all, slots[from:i])
+			from = i
+		}
+	}
+	return all
+}
+
+// packRack packs the tasks into the rack on which the least room is left over.
+func packRack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+	var best []*slot
+	least := 0.0
+	for _, group := range racks(slots) {
+		found := pack(ca, group, count, view)
+		if found == nil {
+			continue
+		}
+		var left float64
+		for _, sl := range group {
+			left += share(view(sl), sl.worker.Capacity)
+		}
+		if best == nil || left < least {
+			best, least = found, left
+		}
+	}
+	return best
+}
+
+// pack chooses a slot for each task by best fit, or returns nil if they do not all fit.
+func pack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+	need := ca.step.Reserved()
+	left := make([]workload.Room, len(slots))
+	spread := make([]int, len(slots))
+	for i, sl := range slots {
+		left[i] = view(sl)
+		spread[i] = spreadLeft(ca, sl)
+	}
+	found := make([]*slot, 0, count)
+	for range count {
+		best, lowest := -1, 0.0
+		for i, sl := range slots {
+			if spread[i] == 0 || !left[i].Fits(need) {
+				continue
+			}
+			score := share(left[i].Sub(need), sl.worker.Capacity)
+			if sl.worker.Suspect {
+				score += suspectPenalty
+			}
+			if best < 0 || score < lowest {
+				best, lowest = i, score
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		left[best] = left[best].Sub(need)
+		spread[best]--
+		found = append(found, slots[best])
+	}
+	return found
+}
+
+// suspectPenalty exceeds every share, so that a suspect worker comes last.
+const suspectPenalty = 10.0
+
+// unlimited stands for a step without a spread limit.
+const unlimited = 1 << 30
+
+// spreadLeft is how many more tasks of the candidate's stage the worker may run.
+func spreadLeft(ca candidate, sl *slot) int {
+	if ca.step.Spread <= 0 {
+		return unlimited
+	}
+	left := ca.step.Spread
+	for i := range ca.stage.Tasks {
+		if ta := &ca.stage.Tasks[i]; ta.Held() && ta.Worker == sl.worker.ID {
+			left--
+		}
+	}
+	return max(left-sl.planned[ca.stage], 0)
+}
+
+// share is how much of a capacity a room is, summed over the resources.
+func share(ro, of workload.Room) float64 {
+	return part(float64(ro.CPU), float64(of.CPU)) + part(float64(ro.Memory), float64(of.Memory)) +
+		part(float64(ro.Accelerators), float64(of.Accelerators))
+}
+
+func part(amount, of float64) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return amount / of
+}
