Make the test of lasting tasks able to fail

Cause: a lasting task that was wrongly stopped for urgent work was started again before the test looked, so that the test passed with the exemption switched off. Found by switching off each mechanism that had not been: keeping workers, tickets and their renewal, pace, the emptying and the bound of waves, the record before the order; the tests of those fail as they should.

Change: the test also counts the runs.

Measured: with the exemption off the test passes before and fails after; with it on it passes three times.

Conclusion: the mechanism was there, its check was not.

--- a/wagtailcroftd/participant/services_test.go
+++ b/wagtailcroftd/participant/services_test.go
@@ -65,6 +65,7 @@
 			sc.accepted(0, urgent)
 			sc.sleep(5 * time.Second)
 			asserter.Equal(t, len(sc.cluster.At(jo.ID)), 2)
+			asserter.Equal(t, sc.cluster.Runs(), 2) // neither stopped and started again, nor the urgent one
 		})
 	})
 	t.Run("fillers are slowed until those they disturb meet their target", func(t *testing.T) {
