Read a table once at the start, also where the store was never written

Cause: the tailer took version 0 as 'not read yet', which is also the version of a store that nobody has written. Change: whether the table is known is a field of its own. Conclusion: the test 'a store that was never written' fails with the former code.

--- a/wagtailcroftd/tailer/tailer.go
+++ b/wagtailcroftd/tailer/tailer.go
@@ -53,8 +53,11 @@
 		wait clock.Millis
 		// gap is a pause after each answer, in which changes gather.
 		gap clock.Millis
-		// version is the newest that has been given; 0 means that the table must be read.
+		// version is the newest that has been given, if the table is known; a store that was
+		// never written has version 0.
 		version meter.RowVersion
+		// known means that the table has been read, and no change was missed since.
+		known bool
 		// failures counts failed calls since the last good one.
 		failures int
 	}
@@ -87,13 +90,13 @@
 // step makes one call and gives what it brought.
 func (ta *Tailer) step(ctx context.Context, re Reader) error {
 	sent := ta.cl.Now()
-	if ta.version == 0 {
+	if !ta.known {
 		return ta.whole(ctx, re, sent)
 	}
 	page, err := ta.follow(ctx)
 	if eris.Is(err, rowstore.ErrCompacted) {
 		ta.log.Info().Int64("version", int64(ta.version)).Str("why", "history dropped").Msg("tableReread")
-		ta.version = 0
+		ta.known = false
 		return nil
 	}
 	if err != nil {
@@ -122,7 +125,7 @@
 	}
 	ta.good()
 	re.Whole(rows)
-	ta.version = version
+	ta.version, ta.known = version, true
 	re.Confirmed(sent)
 	return nil
 }
@@ -139,7 +142,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if version == 0 {
+		if rows == nil {
 			version = page.Version
 		}
 		rows = append(rows, page.Rows...)
--- /dev/null
+++ b/wagtailcroftd/tailer/tailer_test.go
@@ -0,0 +1,88 @@
+package tailer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
+)
+
+// store answers whole reads with its rows, and follows with what is queued.
+type store struct {
+	rows           []rowstore.Row
+	version        meter.RowVersion
+	changes        []rowstore.Page
+	compacted      int
+	reads, follows int
+}
+
+func (st *store) Read(context.Context, rowstore.Table, string, string, int) (rowstore.Page, error) {
+	st.reads++
+	return rowstore.Page{Rows: st.rows, Version: st.version}, nil
+}
+
+func (st *store) Follow(ctx context.Context, _ rowstore.Table, after meter.RowVersion, wait clock.Millis) (rowstore.Page, error) {
+	st.follows++
+	if st.compacted > 0 {
+		st.compacted--
+		return rowstore.Page{}, rowstore.ErrCompacted
+	}
+	if len(st.changes) > 0 {
+		page := st.changes[0]
+		st.changes = st.changes[1:]
+		return page, nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait.Duration()):
+	}
+	return rowstore.Page{Version: after}, nil
+}
+
+func (st *store) Reset() {}
+
+// reader counts what it is given.
+type reader struct{ whole, changed int }
+
+func (re *reader) Whole(rows []rowstore.Row)   { re.whole += len(rows) }
+func (re *reader) Changed(rows []rowstore.Row) { re.changed += len(rows) }
+func (re *reader) Confirmed(clock.Millis)      {}
+
+// follow runs a tailer for 10 s.
+func follow(t *testing.T, st *store) *reader {
+	re := &reader{}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		tailer.New(st, "table", tailer.Timing{Wait: clock.Second}, clock.NewRuntime(), zerolog.Nop()).Run(ctx, re)
+	})
+	return re
+}
+
+func TestTailer(t *testing.T) {
+	row := rowstore.Row{Key: rowstore.Key{Table: "table", Name: "a"}, Version: 3}
+	t.Run("a store that was never written is followed, not read again and again", func(t *testing.T) {
+		st := &store{}
+		follow(t, st)
+		asserter.Equal(t, st.reads, 1)
+		asserter.Equal(t, st.follows <= 11, true)
+	})
+	t.Run("rows and changes are given once", func(t *testing.T) {
+		re := follow(t, &store{rows: []rowstore.Row{row}, version: 3, changes: []rowstore.Page{{Rows: []rowstore.Row{row}, Version: 4}}})
+		asserter.Equal(t, *re, reader{whole: 1, changed: 1})
+	})
+	t.Run("the table is read again where changes were dropped", func(t *testing.T) {
+		st := &store{rows: []rowstore.Row{row}, version: 3, compacted: 2}
+		re := follow(t, st)
+		asserter.Equal(t, st.reads, 3)
+		asserter.Equal(t, re.whole, 3)
+	})
+}
