Count the calls to the store, and log the counters every 10 s

Cause: the price of calls could not be told apart by kind, and on-call has no metrics where only logs are collected.

--- a/wagtailcroftd/instrumenter/instrumenter.go
+++ b/wagtailcroftd/instrumenter/instrumenter.go
@@ -26,13 +26,15 @@
 type Instrumenter struct {
 	mu    locker.Mutex
 	count map[string]map[string]int64
-	took  map[string]*hdrhistogram.Histogram
+	// told holds the counters as they were when they were last logged.
+	told map[string]map[string]int64
+	took map[string]*hdrhistogram.Histogram
 }
 
 // New returns an instrumenter at zero.
 func New() *Instrumenter {
 	return &Instrumenter{
-		mu: locker.New(locker.RankPlatform), count: map[string]map[string]int64{}, took: map[string]*hdrhistogram.Histogram{},
+		mu: locker.New(locker.RankPlatform), count: map[string]map[string]int64{}, told: map[string]map[string]int64{}, took: map[string]*hdrhistogram.Histogram{},
 	}
 }
 
@@ -62,6 +64,25 @@
 	_ = hi.RecordValue(min(max(int64(d), 1), longest)) // fails only beyond the bounds
 }
 
+// Changes returns the increments of the counters since the last call, as name.label.
+func (in *Instrumenter) Changes() map[string]int64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	changes := map[string]int64{}
+	for name, labels := range in.count {
+		if in.told[name] == nil {
+			in.told[name] = map[string]int64{}
+		}
+		for label, count := range labels {
+			if by := count - in.told[name][label]; by > 0 {
+				changes[name+"."+label] = by
+				in.told[name][label] = count
+			}
+		}
+	}
+	return changes
+}
+
 // String is what expvar shows: JSON.
 func (in *Instrumenter) String() string {
 	in.mu.Lock()
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -17,6 +19,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
 )
 
@@ -24,6 +27,9 @@
 // that those who do not know yet that it stops are served.
 const drainShare = 0.5
 
+// observeEvery is the time between two log lines with the counters.
+const observeEvery = 10 * clock.Second
+
 type (
 	// Clock also tells the time of day.
 	Clock interface {
@@ -36,7 +42,7 @@
 		Clock Clock
 		Log   zerolog.Logger
 		// Meters counts events and times.
-		Meters conductor.Meters
+		Meters *instrumenter.Instrumenter
 		// Transport carries the calls to the platform; nil stands for TCP.
 		Transport http.RoundTripper
 	}
@@ -46,6 +52,7 @@
 		set       member.Settings
 		cl        Clock
 		log       zerolog.Logger
+		meters    *instrumenter.Instrumenter
 		follower  *follower.Follower
 		intake    *intake.Intake
 		conductor *conductor.Conductor
@@ -56,8 +63,8 @@
 
 // New returns an instance that does nothing until Run.
 func New(set member.Settings, ou Outside) *Participant {
-	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log}
-	store := platform.NewStore(set.StoreAddress, ou.Transport)
+	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log, meters: ou.Meters}
+	store := instrumenter.NewStore(platform.NewStore(set.StoreAddress, ou.Transport), ou.Meters, ou.Clock)
 	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, ou.Clock, ou.Log)
 	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis, Meters: ou.Meters})
 	parts := conductor.Parts{
@@ -94,6 +101,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { pa.follower.Run(ctx) })
 	parts.Go(func() { pa.conductor.Run(deciding, ctx) })
+	parts.Go(func() { pa.observe(ctx) })
 	select {
 	case <-ctx.Done():
 	case <-stop:
@@ -104,6 +112,18 @@
 	parts.Wait()
 }
 
+// observe logs, once a while, what the instance has counted.
+func (pa *Participant) observe(ctx context.Context) {
+	for clock.Sleep(ctx, pa.cl, observeEvery) {
+		line := pa.log.Info()
+		changes := pa.meters.Changes()
+		for _, name := range slices.Sorted(maps.Keys(changes)) {
+			line = line.Int64(name, changes[name])
+		}
+		line.Msg("countersSeen")
+	}
+}
+
 // Drain is how long a stopping instance goes on to take calls.
 func (pa *Participant) Drain() clock.Millis {
 	return clock.Millis(float64(pa.set.GraceMillis) * drainShare)
