Keep room for urgent work, and serve first what can be in time

Long work filled every worker at all times. Work of one priority was served in order of acceptance, so that in a backlog all was late.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: help build demo test lint generate check-generated bench fuzz soak faults slopes lines
+.PHONY: help build demo test lint generate check-generated bench days fuzz soak faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -27,6 +27,9 @@
 bench: build ## measure the decisions and write docs/MEASUREMENTS.md
 	$(BIN)/bench run --commit $$(git rev-parse --short HEAD)
 
+days: build ## play simulated days of step jobs with every policy and write docs/MEASUREMENTS.md
+	$(BIN)/bench days --commit $$(git rev-parse --short HEAD)
+
 faults: build ## eight real processes under load and faults, two minutes
 	BIN=$(BIN) scripts/faults.sh
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -10,7 +10,7 @@
 
 const help = "Measures the decisions of the product beside simple policies."
 
-var commands = []commander.Command{cmdRun}
+var commands = []commander.Command{cmdRun, cmdDays}
 
 func main() {
 	if err := commander.Run("bench", help, commands, os.Args[1:]); err != nil {
--- /dev/null
+++ b/decisions/learner/learner_test.go
@@ -0,0 +1,68 @@
+package learner_test
+
+import (
+	"testing"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/learner"
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+)
+
+const (
+	queue = "queue"
+	pool  = "pool"
+)
+
+// teach tells of runs that took as given, with the estimates given.
+func teach(le *learner.Learner, estimates, ran []clock.Millis) {
+	for i := range ran {
+		le.Ran(queue, estimates[i], ran[i])
+	}
+}
+
+func TestExpected(t *testing.T) {
+	t.Run("the estimate stands until enough runs are known", func(t *testing.T) {
+		le := learner.New()
+		teach(le, []clock.Millis{100, 100}, []clock.Millis{2000, 2000})
+		asserter.Equal(t, le.Expected(queue, 300), 300)
+	})
+	t.Run("the median stands where estimates are far off", func(t *testing.T) {
+		le := learner.New()
+		teach(le, []clock.Millis{100, 9000, 500, 50, 7000}, []clock.Millis{2000, 2100, 1900, 2000, 2200})
+		asserter.Equal(t, le.Expected(queue, 300), 2000)
+	})
+	t.Run("good estimates stand where run times differ", func(t *testing.T) {
+		le := learner.New()
+		teach(le, []clock.Millis{100, 9000, 500, 50, 7000}, []clock.Millis{110, 8800, 480, 55, 7100})
+		asserter.Equal(t, le.Expected(queue, 300), 300)
+	})
+	t.Run("old runs are forgotten", func(t *testing.T) {
+		le := learner.New()
+		for range 32 {
+			le.Ran(queue, 1, 5000)
+		}
+		for range 32 {
+			le.Ran(queue, 1, 1000)
+		}
+		asserter.Equal(t, le.Expected(queue, 1), 1000)
+	})
+}
+
+func TestDemand(t *testing.T) {
+	t.Run("it nears what urgent work has", func(t *testing.T) {
+		le := learner.New()
+		le.Came(pool, 4)
+		var mean, deviation float64
+		for at := clock.Millis(0); at <= clock.Minute; at += 100 {
+			mean, deviation = le.Demand(pool, at, 64)
+		}
+		asserter.Equal(t, int(mean+0.5), 64)
+		asserter.Equal(t, int(deviation+0.5), 16) // 16 jobs of 4: the root of 16, times 4
+	})
+	t.Run("it falls when urgent work has ended", func(t *testing.T) {
+		le := learner.New()
+		le.Demand(pool, clock.Minute, 64)
+		mean, _ := le.Demand(pool, 2*clock.Minute, 0)
+		asserter.Equal(t, mean < 1, true)
+	})
+}
--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -29,11 +29,11 @@
 }
 
 // packRack packs the tasks into the rack on which the least room is left over.
-func packRack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+func (ro *round) packRack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
 	var best []*slot
 	least := 0.0
 	for _, group := range racks(slots) {
-		found := pack(ca, group, count, view)
+		found := ro.pack(ca, group, count, view)
 		if found == nil {
 			continue
 		}
@@ -41,6 +41,7 @@
 		for _, sl := range group {
 			left += share(view(sl), sl.worker.Capacity)
 		}
+		left += ro.tu.Apart * ro.away(ca, group[0]) * float64(len(group))
 		if best == nil || left < least {
 			best, least = found, left
 		}
@@ -49,7 +50,7 @@
 }
 
 // pack chooses a slot for each task by best fit, or returns nil if they do not all fit.
-func pack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
+func (ro *round) pack(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
 	need := ca.step.Reserved()
 	left := make([]workload.Room, len(slots))
 	spread := make([]int, len(slots))
@@ -65,6 +66,7 @@
 				continue
 			}
 			score := share(left[i].Sub(need), sl.worker.Capacity)
+			score += ro.tu.Apart * ro.away(ca, sl)
 			if sl.worker.Suspect {
 				score += suspectPenalty
 			}
@@ -82,6 +84,17 @@
 	return found
 }
 
+// away is how far a slot is from where work of its kind is kept, from 0 to 1: urgent work
+// to the first racks, other work to the last. Room that urgent work leaves soon is not cut
+// into pieces by work that stays.
+func (ro *round) away(ca candidate, sl *slot) float64 {
+	at := float64(sl.at) / float64(len(ro.slots))
+	if ca.queue.Priority == 0 {
+		return at
+	}
+	return 1 - at
+}
+
 // suspectPenalty exceeds every share, so that a suspect worker comes last.
 const suspectPenalty = 10.0
 
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -42,7 +42,30 @@
 		Priority int
 		// Attempts is the most failed runs of a task; 0 means no limit.
 		Attempts int
-	}
+		// Stretch and Objective bound the time of a job: Stretch times its work, and
+		// Objective more. Stretch 0 means that the queue has no objective.
+		Stretch   float64
+		Objective clock.Millis
+	}
+
+	// Tuning holds the weights of the decisions.
+	Tuning struct {
+		// Spare is how many deviations above the mean demand of urgent work are kept free of
+		// other work; 0 keeps nothing free. MostSpare is the share of a pool's accelerators
+		// that bounds it.
+		Spare, MostSpare float64
+		// Apart is how strongly urgent work is kept to the first racks and other work to the
+		// last, in shares of a worker's room.
+		Apart float64
+		// RackPatience is the longest wait of a gang for room on one rack.
+		RackPatience clock.Millis
+		// Ordered means that work which can still be in time comes first, then that of least
+		// work; otherwise the first accepted comes first.
+		Ordered bool
+	}
+
+	// Planner decides by its tuning.
+	Planner struct{ tu Tuning }
 
 	// Input is what a plan rests on.
 	Input struct {
@@ -57,10 +80,17 @@
 		Guarantees map[identifier.Workspace]meter.Accelerators
 		// Allowed tells whether a worker may run a stage; nil allows all.
 		Allowed func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool
+		// Demand is what urgent work lately needed of each pool.
+		Demand map[identifier.Pool]Demand
+		// Expected tells how long a task of a step runs; nil stands for its estimate.
+		Expected func(jo *workload.Job, step int) clock.Millis
 		// Waited tells how long a job has waited, on the scheduler's own clock.
 		Waited func(id identifier.Job) clock.Millis
 	}
 
+	// Demand is a number of accelerators, and by how much it usually differs.
+	Demand struct{ Mean, Deviation float64 }
+
 	// Start asks for new runs of tasks of one stage; for a gang, of all its tasks.
 	Start struct {
 		Job   *workload.Job
@@ -100,12 +130,19 @@
 		rank    int
 		indexes []int
 		order   int
+		// late is the group of work by its objective, and urge its place within the group;
+		// lower comes first.
+		late lateness
+		urge float64
 	}
 )
 
-// New plans. The input is not changed.
-func New(in Input) Plan {
-	ro := newRound(in)
+// New returns a planner.
+func New(tu Tuning) *Planner { return &Planner{tu: tu} }
+
+// Plan decides what to do now. The input is not changed.
+func (pl *Planner) Plan(in Input) Plan {
+	ro := newRound(pl.tu, in)
 	for _, ca := range ro.candidates() {
 		ro.serve(ca)
 	}
@@ -125,14 +162,18 @@
 			if len(indexes) == 0 || !jo.Ready(st) {
 				continue
 			}
-			all = append(all, candidate{
+			ca := candidate{
 				job: jo, stage: st, step: jo.StepOf(st), queue: qu,
 				rank: ro.rank(jo, qu), indexes: indexes, order: order,
-			})
+			}
+			if ro.tu.Ordered && ca.rank != rankGuaranteed {
+				ca.late, ca.urge = ro.timeliness(ca)
+			}
+			all = append(all, ca)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.late, b.late), cmp.Compare(a.urge, b.urge), cmp.Compare(a.order, b.order))
 	})
 	return all
 }
@@ -172,19 +213,10 @@
 		if qu, known := in.Queues[jo.Queue]; !known || qu.Priority != 0 || jo.State.Final() {
 			continue
 		}
-		if need := needOf(jo); need <= left[jo.Workspace] {
+		if need := jo.Widest(); need <= left[jo.Workspace] {
 			left[jo.Workspace] -= need
 			covered[jo.ID] = true
 		}
 	}
 	return covered
 }
-
-// needOf is the most accelerators that a step of the job takes at once.
-func needOf(jo *workload.Job) meter.Accelerators {
-	var most meter.Accelerators
-	for i := range jo.Steps {
-		most = max(most, jo.Steps[i].Need.Accelerators*meter.Accelerators(jo.Steps[i].Count))
-	}
-	return most
-}
--- a/decisions/planner/planner_test.go
+++ b/decisions/planner/planner_test.go
@@ -102,16 +102,16 @@
 	t.Run("a gang starts whole or not at all", func(t *testing.T) {
 		sc := newScene(3, 3)
 		jo := sc.add(later, "ws", gang(4, 8))
-		asserter.Equal(t, starts(planner.New(sc.Input), jo), 0)
+		asserter.Equal(t, starts(planner.New(planner.Completion).Plan(sc.Input), jo), 0)
 		sc = newScene(4, 4)
 		jo = sc.add(later, "ws", gang(4, 8))
-		asserter.Equal(t, starts(planner.New(sc.Input), jo), 4)
+		asserter.Equal(t, starts(planner.New(planner.Completion).Plan(sc.Input), jo), 4)
 	})
 	t.Run("a gang goes to one rack where one has room", func(t *testing.T) {
 		sc := newScene(8, 4)
 		sc.run(sc.add(later, "ws", step(1, 1)), 0)
 		jo := sc.add(later, "ws", gang(4, 8))
-		asserter.Equal(t, sc.racksOf(planner.New(sc.Input), jo), 1)
+		asserter.Equal(t, sc.racksOf(planner.New(planner.Completion).Plan(sc.Input), jo), 1)
 	})
 	t.Run("a gang waits for a rack before it is spread", func(t *testing.T) {
 		sc := newScene(4, 2)
@@ -119,21 +119,21 @@
 		sc.run(sc.add(later, "ws", step(1, 1)), 2)
 		jo := sc.add(later, "ws", gang(2, 8))
 		sc.Waited = func(identifier.Job) clock.Millis { return 0 }
-		asserter.Equal(t, starts(planner.New(sc.Input), jo), 0)
+		asserter.Equal(t, starts(planner.New(planner.Completion).Plan(sc.Input), jo), 0)
 		sc.Waited = func(identifier.Job) clock.Millis { return clock.Minute }
-		asserter.Equal(t, sc.racksOf(planner.New(sc.Input), jo), 2)
+		asserter.Equal(t, sc.racksOf(planner.New(planner.Completion).Plan(sc.Input), jo), 2)
 	})
 	t.Run("a gang that no rack can hold does not wait for one", func(t *testing.T) {
 		sc := newScene(4, 2)
 		jo := sc.add(later, "ws", gang(3, 8))
 		sc.Waited = func(identifier.Job) clock.Millis { return 0 }
-		asserter.Equal(t, starts(planner.New(sc.Input), jo), 3)
+		asserter.Equal(t, starts(planner.New(planner.Completion).Plan(sc.Input), jo), 3)
 	})
 	t.Run("small tasks fill used workers first", func(t *testing.T) {
 		sc := newScene(4, 4)
 		sc.run(sc.add(later, "ws", step(1, 4)), 2)
 		sc.add(later, "ws", step(1, 1))
-		asserter.Equal(t, planner.New(sc.Input).Starts[0].Places[0].Worker, sc.Workers[2].ID)
+		asserter.Equal(t, planner.New(planner.Completion).Plan(sc.Input).Starts[0].Places[0].Worker, sc.Workers[2].ID)
 	})
 	t.Run("room that is being freed still counts as taken", func(t *testing.T) {
 		sc := newScene(1, 1)
@@ -141,7 +141,7 @@
 		sc.run(running, 0)
 		running.Stages[0].Tasks[0].Phase = workload.Stopping
 		jo := sc.add(first, "ws", step(1, 8))
-		pl := planner.New(sc.Input)
+		pl := planner.New(planner.Completion).Plan(sc.Input)
 		asserter.Equal(t, starts(pl, jo), 0)
 		asserter.Equal(t, len(pl.Stops), 0)
 	})
@@ -149,7 +149,7 @@
 		sc := newScene(2, 2)
 		jo := sc.add(later, "ws", step(1, 1))
 		jo.Stages[0].Tasks[0].FailedOn = sc.Workers[0].ID
-		asserter.Equal(t, planner.New(sc.Input).Starts[0].Places[0].Worker, sc.Workers[1].ID)
+		asserter.Equal(t, planner.New(planner.Completion).Plan(sc.Input).Starts[0].Places[0].Worker, sc.Workers[1].ID)
 	})
 	t.Run("a label, a spread limit and a permission are kept", func(t *testing.T) {
 		sc := newScene(3, 3)
@@ -157,13 +157,13 @@
 		labelled := step(1, 1)
 		labelled.Requires = "fast"
 		sc.add(later, "ws", labelled)
-		asserter.Equal(t, planner.New(sc.Input).Starts[0].Places[0].Worker, sc.Workers[1].ID)
+		asserter.Equal(t, planner.New(planner.Completion).Plan(sc.Input).Starts[0].Places[0].Worker, sc.Workers[1].ID)
 		spread := step(4, 1)
 		spread.Spread = 1
 		jo := sc.add(later, "ws", spread)
-		asserter.Equal(t, starts(planner.New(sc.Input), jo), 3)
+		asserter.Equal(t, starts(planner.New(planner.Completion).Plan(sc.Input), jo), 3)
 		sc.Allowed = func(*workload.Job, *workload.Stage, identifier.Worker) bool { return false }
-		asserter.Equal(t, len(planner.New(sc.Input).Starts), 0)
+		asserter.Equal(t, len(planner.New(planner.Completion).Plan(sc.Input).Starts), 0)
 	})
 	t.Run("workers are kept for a gang that does not fit yet", func(t *testing.T) {
 		sc := newScene(10, 5)
@@ -172,7 +172,7 @@
 		}
 		waiting := sc.add(later, "ws", gang(2, 8))
 		small := sc.add(later, "ws", step(80, 1))
-		pl := planner.New(sc.Input)
+		pl := planner.New(planner.Completion).Plan(sc.Input)
 		asserter.Equal(t, starts(pl, waiting), 0)
 		asserter.Equal(t, starts(pl, small), 56) // 70 are free, 14 of them on the two kept workers
 	})
@@ -186,7 +186,7 @@
 		sc.run(short, 1)
 		short.Stages[0].Tasks[0].Since = 99_900
 		sc.add(first, "ws", step(1, 8))
-		pl := planner.New(sc.Input)
+		pl := planner.New(planner.Completion).Plan(sc.Input)
 		asserter.Equal(t, len(pl.Stops), 1)
 		asserter.Equal(t, pl.Stops[0].Job, short)
 	})
@@ -194,21 +194,21 @@
 		sc := newScene(1, 1)
 		sc.run(sc.add(first, "ws", step(1, 8)), 0)
 		sc.add(first, "ws", step(1, 8))
-		asserter.Equal(t, len(planner.New(sc.Input).Stops), 0)
+		asserter.Equal(t, len(planner.New(planner.Completion).Plan(sc.Input).Stops), 0)
 	})
 	t.Run("a guarantee is reclaimed from borrowed urgent work", func(t *testing.T) {
 		sc := newScene(1, 1)
 		sc.Guarantees["owner"] = 8
 		sc.run(sc.add(first, "borrower", step(1, 8)), 0)
 		sc.add(first, "owner", step(1, 8))
-		asserter.Equal(t, len(planner.New(sc.Input).Stops), 1)
+		asserter.Equal(t, len(planner.New(planner.Completion).Plan(sc.Input).Stops), 1)
 	})
 	t.Run("what exceeds a guarantee reclaims nothing", func(t *testing.T) {
 		sc := newScene(1, 1)
 		sc.Guarantees["owner"] = 4
 		sc.run(sc.add(first, "borrower", step(1, 8)), 0)
 		sc.add(first, "owner", step(1, 8))
-		asserter.Equal(t, len(planner.New(sc.Input).Stops), 0)
+		asserter.Equal(t, len(planner.New(planner.Completion).Plan(sc.Input).Stops), 0)
 	})
 	t.Run("lasting tasks are never stopped", func(t *testing.T) {
 		sc := newScene(1, 1)
@@ -216,7 +216,7 @@
 		lasting.Lasting = true
 		sc.run(sc.add(later, "ws", lasting), 0)
 		sc.add(first, "ws", step(1, 8))
-		asserter.Equal(t, len(planner.New(sc.Input).Stops), 0)
+		asserter.Equal(t, len(planner.New(planner.Completion).Plan(sc.Input).Stops), 0)
 	})
 }
 
@@ -224,7 +224,7 @@
 func TestPlansAlways(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sc := drawScene(rt)
-		pl := planner.New(sc.Input)
+		pl := planner.New(planner.Completion).Plan(sc.Input)
 		sc.checkRoom(rt, pl)
 		for _, st := range pl.Starts {
 			if st.Job.StepOf(st.Stage).Gang && len(st.Places) != len(st.Stage.Tasks) {
@@ -313,6 +313,6 @@
 		sc.add(later, "ws", gang(16, 8))
 	}
 	for b.Loop() {
-		planner.New(sc.Input)
+		planner.New(planner.Completion).Plan(sc.Input)
 	}
 }
--- a/decisions/planner/preempt.go
+++ b/decisions/planner/preempt.go
@@ -194,7 +194,7 @@
 	if step.Checkpoints {
 		lost = min(lost, checkpointLoss)
 	}
-	cores := float64(step.Need.CPU)/1000 + acceleratorCores*float64(step.Need.Accelerators)
+	cores := coresOf(step.Need)
 	if step.Gang {
 		cores *= float64(step.Count)
 	}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -7,6 +7,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -24,14 +25,12 @@
 	leastPatience = 1500 * clock.Millis(1)
 	// urgentPatience bounds it for urgent work beyond its guarantee, whose objective is 4 s.
 	urgentPatience = 4 * clock.Second
-	// mostPatience bounds it from above: room on one rack comes free within about two runs
-	// of the longest tasks, 11 s, where workers are kept for the gang.
-	mostPatience = 12 * clock.Second
 )
 
 type (
 	// round is the state of one plan.
 	round struct {
+		tu   Tuning
 		in   Input
 		plan Plan
 		// slots are in order of their rack.
@@ -44,6 +43,10 @@
 		holds int
 		// preemptions counts the candidates that were searched for others to stop.
 		preemptions int
+		// urgent counts the accelerators of each pool that urgent work has.
+		urgent map[identifier.Pool]meter.Accelerators
+		// accelerators counts those of the usable slots of each pool.
+		accelerators map[identifier.Pool]meter.Accelerators
 		// spare counts the usable slots of each pool by the accelerators that will be free.
 		spare map[identifier.Pool][]int
 	}
@@ -51,6 +54,8 @@
 	// slot is a worker with the room that the plan so far leaves.
 	slot struct {
 		worker *Worker
+		// at is the place of the slot among all.
+		at int
 		// now is free at once. It is negative where work exceeds the capacity.
 		now workload.Room
 		// soon is free once all that is stopping has ended.
@@ -73,8 +78,8 @@
 	}
 )
 
-func newRound(in Input) *round {
-	ro := &round{in: in, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coverage(in), spare: map[identifier.Pool][]int{}}
+func newRound(tu Tuning, in Input) *round {
+	ro := &round{tu: tu, in: in, urgent: map[identifier.Pool]meter.Accelerators{}, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coverage(in), spare: map[identifier.Pool][]int{}, accelerators: map[identifier.Pool]meter.Accelerators{}}
 	for i := range in.Workers {
 		wo := &in.Workers[i]
 		sl := &slot{worker: wo, now: wo.Capacity, soon: wo.Capacity}
@@ -84,15 +89,22 @@
 	slices.SortFunc(ro.slots, func(a, b *slot) int {
 		return cmp.Or(cmp.Compare(a.worker.Rack, b.worker.Rack), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
+	for i, sl := range ro.slots {
+		sl.at = i
+	}
 	for _, jo := range in.Jobs {
 		qu := in.Queues[jo.Queue]
 		rank := ro.rank(jo, qu)
 		jo.Held(func(st *workload.Stage, index int, ta *workload.Task) {
+			if qu.Priority == 0 {
+				ro.urgent[qu.Pool] += jo.StepOf(st).Need.Accelerators
+			}
 			ro.occupy(run{job: jo, stage: st, index: index, rank: rank}, ta)
 		})
 	}
 	for _, sl := range ro.slots {
 		if sl.worker.Usable {
+			ro.accelerators[sl.worker.Pool] += sl.worker.Capacity.Accelerators
 			ro.count(sl, 1)
 		}
 	}
@@ -178,6 +190,9 @@
 	slots := ro.allowed(ca, indexes)
 	if !hopeless {
 		if found := ro.find(ca, slots, len(indexes), free); found != nil {
+			if !ro.leavesRoom(ca, len(indexes)) {
+				return false
+			}
 			ro.start(ca, indexes, found)
 			return true
 		}
@@ -199,9 +214,34 @@
 	return false
 }
 
+// leavesRoom reports whether enough is left for the urgent work that will come, so that it
+// need not stop other work.
+func (ro *round) leavesRoom(ca candidate, count int) bool {
+	if ca.queue.Priority == 0 || ro.tu.Spare == 0 {
+		return true
+	}
+	pool := ca.queue.Pool
+	most := ro.tu.MostSpare * float64(ro.accelerators[pool])
+	de := ro.in.Demand[pool]
+	spare := min(de.Mean+ro.tu.Spare*de.Deviation-float64(ro.urgent[pool]), most)
+	return float64(ro.freeSoon(pool))-float64(count)*float64(ca.step.Need.Accelerators) >= spare
+}
+
+// freeSoon counts the accelerators of a pool that will be free.
+func (ro *round) freeSoon(pool identifier.Pool) int {
+	free := 0
+	for at, slots := range ro.spare[pool] {
+		free += at * slots
+	}
+	return free
+}
+
 // start plans new runs.
 func (ro *round) start(ca candidate, indexes []int, found []*slot) {
 	ro.keep(ca, found)
+	if ca.queue.Priority == 0 {
+		ro.urgent[ca.queue.Pool] += meter.Accelerators(len(found)) * ca.step.Need.Accelerators
+	}
 	places := make([]Place, len(indexes))
 	for i, index := range indexes {
 		places[i] = Place{Index: index, Worker: found[i].worker.ID, Life: found[i].worker.Life}
@@ -228,7 +268,7 @@
 // find returns a slot for each of count equal tasks, or nil if they do not all fit.
 func (ro *round) find(ca candidate, slots []*slot, count int, view func(*slot) workload.Room) []*slot {
 	if rack := ca.step.DataRack; rack != "" {
-		if found := pack(ca, onRack(slots, rack), count, view); found != nil {
+		if found := ro.pack(ca, onRack(slots, rack), count, view); found != nil {
 			return found
 		}
 		if ro.patient(ca) {
@@ -236,20 +276,20 @@
 		}
 	}
 	if !ca.step.SameRack || count == 1 {
-		return pack(ca, slots, count, view)
+		return ro.pack(ca, slots, count, view)
 	}
-	if found := packRack(ca, slots, count, view); found != nil {
+	if found := ro.packRack(ca, slots, count, view); found != nil {
 		return found
 	}
 	if ro.patient(ca) && fitting(slots, ca.step.Reserved()) >= count {
 		return nil
 	}
-	return pack(ca, slots, count, view)
+	return ro.pack(ca, slots, count, view)
 }
 
 // patient reports whether the candidate is still better off waiting for its rack.
 func (ro *round) patient(ca candidate) bool {
-	most := min(max(rackPatience*ca.step.Estimate, leastPatience), mostPatience)
+	most := min(max(rackPatience*ca.step.Estimate, leastPatience), ro.tu.RackPatience)
 	switch {
 	case ca.rank == rankGuaranteed:
 		most = leastPatience
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -323,6 +323,15 @@
 	return most + 1
 }
 
+// Widest is the most accelerators that a step of the job takes at once.
+func (jo *Job) Widest() meter.Accelerators {
+	var most meter.Accelerators
+	for i := range jo.Steps {
+		most = max(most, jo.Steps[i].Need.Accelerators*meter.Accelerators(jo.Steps[i].Count))
+	}
+	return most
+}
+
 // Held calls fn for each task that takes room.
 func (jo *Job) Held(fn func(st *Stage, index int, ta *Task)) {
 	for _, st := range jo.Stages {
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -111,12 +112,15 @@
 	// Conductor takes the duty when it is free and decides while it holds it.
 	Conductor struct {
 		Parts
-		op Options
+		op      Options
+		planner *planner.Planner
 	}
 )
 
 // New returns a conductor that does nothing until Run.
-func New(pa Parts, op Options) *Conductor { return &Conductor{Parts: pa, op: op} }
+func New(pa Parts, op Options) *Conductor {
+	return &Conductor{Parts: pa, op: op, planner: planner.New(planner.Completion)}
+}
 
 // Run takes part until ctx ends; then it gives the duty up within the bound of last.
 func (co *Conductor) Run(ctx, last context.Context) {
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -89,7 +89,7 @@
 		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.holder.Fence, Saved: ta.Saved, Ticket: permit,
 	}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
-	pl.ordered, pl.unanswered = true, true
+	pl.ordered, pl.unanswered, pl.resumed = true, true, ta.Saved != ""
 	pl.tries++
 	te.give(false, pl, or.Task, func() { te.start(wo, key, pl, to, or) })
 }
--- a/wagtailcroftd/conductor/round.go
+++ b/wagtailcroftd/conductor/round.go
@@ -73,7 +73,7 @@
 	te.evacuate(now)
 	in := te.input(po, now)
 	te.advise(in, po, now)
-	pl := planner.New(in)
+	pl := te.planner.Plan(in)
 	te.observe(in, pl, now)
 	for _, sp := range pl.Stops {
 		te.applyStop(sp)
@@ -124,11 +124,16 @@
 		Queues:     make(map[identifier.Queue]planner.Queue, len(po.Queues)),
 		Guarantees: make(map[identifier.Workspace]meter.Accelerators, len(po.Workspaces)),
 		Allowed:    te.allowed(po, now),
-		Waited:     func(id identifier.Job) clock.Millis { return now - te.jobs[id].arrived },
+		Expected: func(jo *workload.Job, step int) clock.Millis {
+			return te.learner.Expected(jo.Queue, jo.Steps[step].Estimate)
+		},
+		Waited: func(id identifier.Job) clock.Millis { return now - te.jobs[id].arrived },
 	}
 	for i := range po.Queues {
 		qu := &po.Queues[i]
-		in.Queues[qu.Name] = planner.Queue{Pool: qu.Pool, Priority: qu.Priority, Attempts: qu.Attempts}
+		in.Queues[qu.Name] = planner.Queue{
+			Pool: qu.Pool, Priority: qu.Priority, Attempts: qu.Attempts, Stretch: qu.Stretch, Objective: qu.Objective,
+		}
 	}
 	for _, ws := range po.Workspaces {
 		in.Guarantees[ws.Name] = ws.Guaranteed
@@ -144,6 +149,7 @@
 		}
 		in.Jobs = append(in.Jobs, en.job)
 	}
+	in.Demand = te.demand(in)
 	for _, wo := range te.workers {
 		if wo.reported || len(wo.runs) > 0 {
 			in.Workers = append(in.Workers, te.planned(wo, now))
@@ -152,6 +158,27 @@
 	return in
 }
 
+// demand is what urgent work lately needed of each pool.
+func (te *term) demand(in planner.Input) map[identifier.Pool]planner.Demand {
+	taken := map[identifier.Pool]meter.Accelerators{}
+	for _, qu := range in.Queues {
+		if qu.Priority == 0 {
+			taken[qu.Pool] = 0
+		}
+	}
+	for _, jo := range in.Jobs {
+		if qu, known := in.Queues[jo.Queue]; known && qu.Priority == 0 {
+			jo.Held(func(st *workload.Stage, _ int, _ *workload.Task) { taken[qu.Pool] += jo.StepOf(st).Need.Accelerators })
+		}
+	}
+	demand := make(map[identifier.Pool]planner.Demand, len(taken))
+	for pool, count := range taken {
+		mean, deviation := te.learner.Demand(pool, in.Now, count)
+		demand[pool] = planner.Demand{Mean: mean, Deviation: deviation}
+	}
+	return demand
+}
+
 // planned is a worker as the planner sees it.
 func (te *term) planned(wo *worker, now clock.Millis) planner.Worker {
 	pw := planner.Worker{
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/learner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
@@ -68,6 +69,8 @@
 		workers map[identifier.Worker]*worker
 		// advices holds what the advice service has said, by step.
 		advices map[stageKey]*advice
+		// learner knows how long tasks lately ran.
+		learner *learner.Learner
 		// early holds the cancellations of jobs that are not known, with when they came.
 		early map[identifier.Job]clock.Millis
 		// failures holds the workers that each job has failed on.
@@ -123,6 +126,7 @@
 		jobs:      map[identifier.Job]*entry{},
 		workers:   map[identifier.Worker]*worker{},
 		advices:   map[stageKey]*advice{},
+		learner:   learner.New(),
 		early:     map[identifier.Job]clock.Millis{},
 		failures:  map[identifier.Job]map[identifier.Worker]bool{},
 		confirmed: now,
@@ -272,6 +276,7 @@
 		}
 		te.worker(ta.Worker).expect(jo.Key(st, index), ta)
 	})
+	te.learnSize(jo)
 	if _, cancelled := te.early[id]; cancelled {
 		delete(te.early, id)
 		te.cancelJob(id)
@@ -283,6 +288,17 @@
 	return nil
 }
 
+// learnSize notes how much room an urgent job needs at once.
+func (te *term) learnSize(jo *workload.Job) {
+	po := te.Policies.Current()
+	if po == nil {
+		return
+	}
+	if qu := po.Queue(jo.Queue); qu != nil && qu.Priority == 0 {
+		te.learner.Came(qu.Pool, jo.Widest())
+	}
+}
+
 // Whole takes all cancellations.
 func (re cancelReader) Whole(rows []rowstore.Row) { re.Changed(rows) }
 
--- a/wagtailcroftd/conductor/worker.go
+++ b/wagtailcroftd/conductor/worker.go
@@ -89,6 +89,8 @@
 		after clock.Millis
 		// tries counts the start orders that were sent.
 		tries int
+		// resumed means that the run goes on from a checkpoint.
+		resumed bool
 		// ordered means that a start was ordered, by this holder or perhaps a former one.
 		ordered bool
 		// unanswered means that a start order without an answer may still be carried out.
@@ -249,7 +251,8 @@
 // endRun applies the end of a run to its job, and to what is known of the worker.
 func (te *term) endRun(wo *worker, key workload.TaskKey, end workload.RunEnd) {
 	delete(wo.strays, key)
-	if pl := wo.runs[key]; pl != nil && pl.run <= end.Run {
+	pl := wo.runs[key]
+	if pl != nil && pl.run <= end.Run {
 		delete(wo.runs, key)
 	}
 	en := te.jobs[key.Job]
@@ -270,6 +273,9 @@
 	en.dirty = true
 	te.Meters.Count("ends", end.How.String())
 	te.judge(wo, key.Job, end.How)
+	if step := en.job.StepOf(st); end.How == workload.EndDone && pl != nil && pl.started > 0 && !pl.resumed && !step.Lasting {
+		te.learner.Ran(en.job.Queue, step.Estimate, te.Clock.Now()-pl.started)
+	}
 	te.log.Info().Str("task", key.String()).Int64("run", int64(end.Run)).Str("worker", string(wo.id)).Str("how", end.How.String()).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.Since)).Int("failures", max(ta.Failures, st.Failures)).Msg("runEnded")
 	if state != en.job.State {
