--- a/bench/simulator/arrivals.go
+++ b/bench/simulator/arrivals.go
@@ -91,6 +91,7 @@
 			Gang: gang && width > 1, SameRack: sameRack && width > 1 && gang, Checkpoints: checkpoints,
 		}
 		st.Need.Accelerators = accelerators
+		st.SameRack = st.SameRack && lo.onRack(st.Need) >= width
 		if step > 0 {
 			st.After = []int{step - 1}
 		}
@@ -104,6 +105,12 @@
 	return ar
 }
 
+// onRack is how many equal tasks an empty rack holds; wider gangs do not ask for one.
+func (lo Load) onRack(need workload.Room) int {
+	times := min(int(lo.Capacity.CPU/need.CPU), int(lo.Capacity.Memory/need.Memory), int(lo.Capacity.Accelerators/need.Accelerators))
+	return times * lo.PerRack
+}
+
 // draw draws the run times of a step's tasks; the members of a gang end together.
 func (ar *arrival) draw(st workload.Step, mean float64, so source) []clock.Millis {
 	work := make([]clock.Millis, st.Count)
