--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -42,6 +42,9 @@
 
 // Holder Table duty, key scheduler. Whoever holds it decides for all workers. Every commit of the holder is conditioned on it.
 type Holder struct {
+	// Address Where the holder answers other instances over net/rpc.
+	Address string `json:"address,omitempty"`
+
 	// Fence Rises with each holder.
 	Fence externalRef0.LeaseEpoch `json:"fence"`
 
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -31,9 +31,12 @@
 	// MemoryLimit Memory of the process, in bytes.
 	MemoryLimit externalRef0.Bytes `json:"memoryLimit" toml:"memoryLimit" validate:"min=33554432"`
 
-	// MetricsAddress Address that serves metrics; empty serves none.
+	// MetricsAddress Address that serves operators and metrics; empty serves none.
 	MetricsAddress string `json:"metricsAddress,omitempty" toml:"metricsAddress" validate:"omitempty,hostname_port"`
 
+	// PeerAddress Address that serves other instances; empty serves none.
+	PeerAddress string `json:"peerAddress,omitempty" toml:"peerAddress" validate:"omitempty,hostname_port"`
+
 	// ReadinessAddress Address that serves readiness.
 	ReadinessAddress string `json:"readinessAddress" toml:"readinessAddress" validate:"required,hostname_port"`
 
--- a/shared/gen/operator/operator.go
+++ b/shared/gen/operator/operator.go
@@ -64,6 +64,7 @@
 	TargetViewStateLeaving     TargetViewState = "leaving"
 	TargetViewStateLive        TargetViewState = "live"
 	TargetViewStateQuarantined TargetViewState = "quarantined"
+	TargetViewStateSilent      TargetViewState = "silent"
 )
 
 // Valid indicates whether the value is a known member of the TargetViewState enum.
@@ -77,6 +78,8 @@
 		return true
 	case TargetViewStateQuarantined:
 		return true
+	case TargetViewStateSilent:
+		return true
 	default:
 		return false
 	}
@@ -140,7 +143,9 @@
 
 // JobView defines model for JobView.
 type JobView struct {
-	Attempt int `json:"attempt"`
+	// AgeMillis A time or duration in milliseconds.
+	AgeMillis externalRef0.Millis `json:"ageMillis,omitempty"`
+	Attempt   int                 `json:"attempt"`
 
 	// Class Urgent work overtakes normal work.
 	Class externalRef0.Class `json:"class"`
@@ -151,11 +156,18 @@
 
 	// Outcome What became of a request or a job; unknown is never shown as one of the others.
 	Outcome externalRef0.Outcome `json:"outcome,omitempty"`
-	Reason  string               `json:"reason"`
+
+	// Queue The queue of a step job; kind and shape are empty then.
+	Queue  string `json:"queue,omitempty"`
+	Reason string `json:"reason"`
 
 	// Shape The accelerators that a gang needs and how close they must be.
-	Shape   externalRef0.Shape      `json:"shape"`
-	State   string                  `json:"state"`
+	Shape externalRef0.Shape `json:"shape"`
+	State string             `json:"state"`
+	Steps []StepView         `json:"steps,omitempty"`
+
+	// Why What each step waits for, or where it runs.
+	Why     []string                `json:"why,omitempty"`
 	Workers []externalRef0.WorkerID `json:"workers"`
 
 	// Workspace Names a workspace, 1 to 63 characters.
@@ -165,6 +177,28 @@
 	Zone externalRef0.ZoneID `json:"zone"`
 }
 
+// Overview All that the deciding instance knows, as it tells the other instances over net/rpc.
+type Overview struct {
+	// Deciding False when the instance that was asked does not decide any more.
+	Deciding bool `json:"deciding"`
+
+	// Fence Fencing token of a lease; only rises.
+	Fence externalRef0.LeaseEpoch `json:"fence"`
+
+	// Instance Names an entry instance.
+	Instance   externalRef0.InstanceID `json:"instance"`
+	Jobs       []JobView               `json:"jobs"`
+	Targets    []TargetView            `json:"targets"`
+	Workspaces []WorkspaceView         `json:"workspaces"`
+}
+
+// OverviewQuery Asks the deciding instance for its overview, over net/rpc.
+type OverviewQuery struct {
+	// Instance Names an entry instance.
+	Instance    externalRef0.InstanceID `json:"instance"`
+	TraceParent string                  `json:"traceParent"`
+}
+
 // RowEdit defines model for RowEdit.
 type RowEdit struct {
 	Author string `json:"author,omitempty" validate:"max=63"`
@@ -196,6 +230,20 @@
 	TableVersion externalRef0.TableVersion `json:"tableVersion"`
 }
 
+// StepView One step of one occurrence of a step job.
+type StepView struct {
+	// Accelerators Of one task.
+	Accelerators externalRef0.Accelerators `json:"accelerators"`
+	Done         int                       `json:"done"`
+	Failures     int                       `json:"failures"`
+	Gang         bool                      `json:"gang,omitempty"`
+	Occurrence   int                       `json:"occurrence"`
+	Running      int                       `json:"running"`
+	Step         int                       `json:"step"`
+	Tasks        int                       `json:"tasks"`
+	Waiting      int                       `json:"waiting"`
+}
+
 // Table defines model for Table.
 type Table struct {
 	// Confirmed The answering instance has read this version from the store within its freshness bound.
@@ -215,7 +263,12 @@
 type TargetView struct {
 	// Accelerators A count of accelerators.
 	Accelerators externalRef0.Accelerators `json:"accelerators,omitempty"`
-	Kind         TargetViewKind            `json:"kind"`
+
+	// FreeAccelerators A count of accelerators.
+	FreeAccelerators externalRef0.Accelerators `json:"freeAccelerators,omitempty"`
+	FreeMilliCores   int64                     `json:"freeMilliCores,omitempty"`
+	Kind             TargetViewKind            `json:"kind"`
+	Pool             string                    `json:"pool,omitempty"`
 
 	// Rack Names a rack.
 	Rack  externalRef0.RackID `json:"rack,omitempty"`
@@ -224,6 +277,9 @@
 	// TargetID Names a target (a runner or a worker).
 	TargetID externalRef0.TargetID `json:"targetId"`
 
+	// Tasks The tasks that hold room there.
+	Tasks []string `json:"tasks,omitempty"`
+
 	// Zone Names an availability zone.
 	Zone externalRef0.ZoneID `json:"zone"`
 }
@@ -242,6 +298,30 @@
 	State string             `json:"state"`
 }
 
+// WorkspaceList defines model for WorkspaceList.
+type WorkspaceList struct {
+	Workspaces []WorkspaceView `json:"workspaces"`
+}
+
+// WorkspaceView defines model for WorkspaceView.
+type WorkspaceView struct {
+	// Borrowed Taken by its other work, and by urgent work beyond the guarantee.
+	Borrowed externalRef0.Accelerators `json:"borrowed"`
+
+	// Guaranteed Belong to the workspace for its urgent work.
+	Guaranteed externalRef0.Accelerators `json:"guaranteed"`
+	Jobs       int                       `json:"jobs"`
+
+	// Used Taken by its urgent work.
+	Used externalRef0.Accelerators `json:"used"`
+
+	// Waiting Wanted by tasks that wait.
+	Waiting externalRef0.Accelerators `json:"waiting"`
+
+	// Workspace Names a workspace, 1 to 63 characters.
+	Workspace externalRef0.WorkspaceID `json:"workspace"`
+}
+
 // GetHistoryParams defines parameters for GetHistory.
 type GetHistoryParams struct {
 	Workspace externalRef0.WorkspaceID `form:"workspace,omitempty" json:"workspace,omitempty"`
@@ -368,6 +448,9 @@
 
 	// DrainTarget performs a POST /v1/targets/{targetId}/drain (the `DrainTarget` operationId) request.
 	DrainTarget(ctx context.Context, targetID externalRef0.TargetID, params *DrainTargetParams, reqEditors ...RequestEditorFn) (*http.Response, error)
+
+	// ListWorkspaces performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
+	ListWorkspaces(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
 }
 
 // GetHistory performs a GET /v1/history (the `GetHistory` operationId) request.
@@ -515,6 +598,19 @@
 	return c.Client.Do(req)
 }
 
+// ListWorkspaces performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
+func (c *Client) ListWorkspaces(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewListWorkspacesRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // NewGetHistoryRequest constructs an http.Request for the GetHistory method
 func NewGetHistoryRequest(server string, params *GetHistoryParams) (*http.Request, error) {
 	var err error
@@ -902,6 +998,33 @@
 	return req, nil
 }
 
+// NewListWorkspacesRequest constructs an http.Request for the ListWorkspaces method
+func NewListWorkspacesRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/workspaces")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 func (c *Client) applyEditors(ctx context.Context, req *http.Request, additionalEditors []RequestEditorFn) error {
 	for _, r := range c.RequestEditors {
 		if err := r(ctx, req); err != nil {
@@ -1000,6 +1123,11 @@
 	//
 	// Returns a wrapper object for the known response body format(s).
 	DrainTargetWithResponse(ctx context.Context, targetID externalRef0.TargetID, params *DrainTargetParams, reqEditors ...RequestEditorFn) (*DrainTargetResponse, error)
+
+	// ListWorkspacesWithResponse performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	ListWorkspacesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListWorkspacesResponse, error)
 }
 
 type GetHistoryResponse struct {
@@ -1482,6 +1610,54 @@
 	return ""
 }
 
+type ListWorkspacesResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *WorkspaceList
+	// ApplicationProblemJSONDefault the response for an HTTP default `application/problem+json` response
+	ApplicationProblemJSONDefault *externalRef0.Problem
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r ListWorkspacesResponse) GetJSON200() *WorkspaceList {
+	return r.JSON200
+}
+
+// GetApplicationProblemJSONDefault returns the response for an HTTP default `application/problem+json` response
+func (r ListWorkspacesResponse) GetApplicationProblemJSONDefault() *externalRef0.Problem {
+	return r.ApplicationProblemJSONDefault
+}
+
+// GetBody returns the raw response body bytes
+func (r ListWorkspacesResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r ListWorkspacesResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r ListWorkspacesResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r ListWorkspacesResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 // GetHistoryWithResponse performs a GET /v1/history (the `GetHistory` operationId) request.
 //
 // Returns a wrapper object for the known response body format(s).
@@ -1603,6 +1779,17 @@
 	return ParseDrainTargetResponse(rsp)
 }
 
+// ListWorkspacesWithResponse performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) ListWorkspacesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListWorkspacesResponse, error) {
+	rsp, err := c.ListWorkspaces(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseListWorkspacesResponse(rsp)
+}
+
 // ParseGetHistoryResponse parses an HTTP response from a GetHistoryWithResponse call
 func ParseGetHistoryResponse(rsp *http.Response) (*GetHistoryResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -1933,6 +2120,39 @@
 	return response, nil
 }
 
+// ParseListWorkspacesResponse parses an HTTP response from a ListWorkspacesWithResponse call
+func ParseListWorkspacesResponse(rsp *http.Response) (*ListWorkspacesResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &ListWorkspacesResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest WorkspaceList
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && true:
+		var dest externalRef0.Problem
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.ApplicationProblemJSONDefault = &dest
+
+	}
+
+	return response, nil
+}
+
 // ServerInterface represents all server handlers.
 type ServerInterface interface {
 
@@ -1965,6 +2185,9 @@
 
 	// (POST /v1/targets/{targetId}/drain)
 	DrainTarget(w http.ResponseWriter, r *http.Request, targetID externalRef0.TargetID, params DrainTargetParams)
+
+	// (GET /v1/workspaces)
+	ListWorkspaces(w http.ResponseWriter, r *http.Request)
 }
 
 // ServerInterfaceWrapper converts contexts to parameters.
@@ -2227,6 +2450,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// ListWorkspaces operation middleware
+func (siw *ServerInterfaceWrapper) ListWorkspaces(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.ListWorkspaces(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 type UnescapedCookieParamError struct {
 	ParamName string
 	Err       error
@@ -2356,6 +2593,8 @@
 
 	r.HandleFunc(options.BaseURL+"/v1/jobs/{jobId}/why", wrapper.WhyJob).Methods(http.MethodGet)
 
+	r.HandleFunc(options.BaseURL+"/v1/workspaces", wrapper.ListWorkspaces).Methods(http.MethodGet)
+
 	r.HandleFunc(options.BaseURL+"/v1/targets", wrapper.ListTargets).Methods(http.MethodGet)
 
 	r.HandleFunc(options.BaseURL+"/v1/targets/{targetId}/drain", wrapper.DrainTarget).Methods(http.MethodPost)
@@ -2752,6 +2991,44 @@
 	return err
 }
 
+type ListWorkspacesRequestObject struct {
+}
+
+type ListWorkspacesResponseObject interface {
+	VisitListWorkspacesResponse(w http.ResponseWriter) error
+}
+
+type ListWorkspaces200JSONResponse WorkspaceList
+
+func (response ListWorkspaces200JSONResponse) VisitListWorkspacesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
+type ListWorkspacesdefaultApplicationProblemPlusJSONResponse struct {
+	Body       externalRef0.Problem
+	StatusCode int
+}
+
+func (response ListWorkspacesdefaultApplicationProblemPlusJSONResponse) VisitListWorkspacesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response.Body); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(response.StatusCode)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 // StrictServerInterface represents all server handlers.
 type StrictServerInterface interface {
 
@@ -2784,6 +3061,9 @@
 
 	// (POST /v1/targets/{targetId}/drain)
 	DrainTarget(ctx context.Context, request DrainTargetRequestObject) (DrainTargetResponseObject, error)
+
+	// (GET /v1/workspaces)
+	ListWorkspaces(ctx context.Context, request ListWorkspacesRequestObject) (ListWorkspacesResponseObject, error)
 }
 
 type StrictHandlerFunc func(ctx context.Context, w http.ResponseWriter, r *http.Request, request any) (any, error)
@@ -3085,3 +3365,27 @@
 		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
 	}
 }
+
+// ListWorkspaces operation middleware
+func (sh *strictHandler) ListWorkspaces(w http.ResponseWriter, r *http.Request) {
+	var request ListWorkspacesRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.ListWorkspaces(ctx, request.(ListWorkspacesRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "ListWorkspaces")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(ListWorkspacesResponseObject); ok {
+		if err := validResponse.VisitListWorkspacesResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
--- a/shared/problem/kinds.go
+++ b/shared/problem/kinds.go
@@ -33,6 +33,7 @@
 	Unconfirmed       Kind = "unconfirmed"
 	Stopping          Kind = "stopping"
 	PeerUnavailable   Kind = "peerUnavailable"
+	KeptByPlatform    Kind = "keptByPlatform"
 	Internal          Kind = "internal"
 )
 
@@ -83,6 +84,7 @@
 	Unconfirmed:       {"This instance cannot confirm that its table is the newest", "send to another instance, or try again after the stated time", NotRun},
 	Stopping:          {"The instance is stopping", "send to another instance", NotRun},
 	PeerUnavailable:   {"The instance that knows cannot be reached", remedyTryLater, NoOutcome},
+	KeptByPlatform:    {"The platform keeps this", "write the configuration to the platform's store; see docs/operators/step-jobs.md", NoOutcome},
 	Internal:          {"Something went wrong inside", "report it with the request id and the log lines around it", NoOutcome},
 }
 
--- a/wagtailcroft/cmd_targets_list.go
+++ b/wagtailcroft/cmd_targets_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -19,7 +20,7 @@
 		},
 	}
 
-	targetHeader = []string{"target", "kind", "zone", "rack", "accelerators", "state"}
+	targetHeader = []string{"target", "kind", "zone", "rack", "accelerators", "free", "tasks", "state"}
 )
 
 // listTargets prints the targets of a kind, or all.
@@ -46,6 +47,17 @@
 		string(target.Zone),
 		string(target.Rack),
 		strconv.Itoa(int(target.Accelerators)),
+		freeWord(target),
+		strconv.Itoa(len(target.Tasks)),
 		string(target.State),
 	}
 }
+
+// freeWord is the free room of a worker of step jobs, as accelerators and cores; others do
+// not tell it.
+func freeWord(target operator.TargetView) string {
+	if target.Pool == "" {
+		return ""
+	}
+	return fmt.Sprintf("%d, %d cores", target.FreeAccelerators, target.FreeMilliCores/1000)
+}
--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -53,15 +53,16 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+		cmdWorkersList, cmdWorkspacesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
-		"table":     "The shared table: one row for each workspace.",
-		"jobs":      "Gang jobs of all workspaces.",
-		"targets":   "Runners and workers.",
-		"workers":   "Workers.",
-		"instances": "Entry instances.",
+		"table":      "The shared table: one row for each workspace.",
+		"jobs":       "Jobs of all workspaces.",
+		"targets":    "Runners and workers.",
+		"workers":    "Workers.",
+		"workspaces": "Guarantees and what is borrowed.",
+		"instances":  "Entry instances.",
 	}
 )
 
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,7 +18,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
 )
@@ -37,11 +38,14 @@
 	Help: "Schedule step jobs on the users' platform until SIGTERM or SIGINT.",
 	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file as the platform lays it.").Default(platform.SettingsPath()).String()
-		return func() error { return schedule(*path) }
+		trace := &settings.Trace{}
+		cl.Flag("trace-exporter", "Where spans go: none, stderr or otlp.").Default("none").EnumVar((*string)(&trace.Exporter), "none", "stderr", "otlp")
+		cl.Flag("trace-url", "Address of the collector, for otlp.").StringVar(&trace.OtlpURL)
+		return func() error { return schedule(*path, *trace) }
 	},
 }
 
-func schedule(path string) error {
+func schedule(path string, trace settings.Trace) error {
 	set, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -55,10 +59,16 @@
 		return err
 	}
 	log = logger.Bound(log, meters)
+	spans, err := tracer.New(context.Background(), trace, set.Instance, os.Stderr)
+	if err != nil {
+		return err
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cl := clock.New()
-	pa := participant.New(set, participant.Outside{Clock: cl, Log: log, Meters: meters})
+	pa := participant.New(set, participant.Outside{
+		Clock: cl, Log: log, Meters: meters, Tracer: spans, Dial: (&net.Dialer{}).DialContext,
+	})
 	servers, err := listen(set, pa, log)
 	if err != nil {
 		return err
@@ -82,7 +92,7 @@
 	cancel()
 	<-ended
 	log.Info().Msg("stopped")
-	return nil
+	return spans.Close(context.Background())
 }
 
 // listen serves the addresses of the settings.
@@ -93,7 +103,7 @@
 	}{
 		{set.CallerAddress, pa.Callers()},
 		{set.ReadinessAddress, pa.Readiness()},
-		{set.MetricsAddress, expvar.Handler()},
+		{set.MetricsAddress, pa.Operators()},
 	}
 	var servers []*http.Server
 	for _, ha := range handlers {
@@ -112,7 +122,24 @@
 			}
 		}()
 	}
-	return servers, nil
+	return servers, servePeers(set.PeerAddress, pa, log)
+}
+
+// servePeers answers other instances for as long as the process lives.
+func servePeers(address string, pa *participant.Participant, log zerolog.Logger) error {
+	if address == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("%w; free the address or change it in the settings", err)
+	}
+	go func() {
+		if err := pa.ServePeers(ln); err != nil {
+			log.Error().Err(err).Str("address", address).Msg("serverEnded")
+		}
+	}()
+	return nil
 }
 
 // shutdown lets the calls under way end within the time.
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -79,6 +80,8 @@
 	Options struct {
 		Instance    identifier.Instance
 		Incarnation string
+		// Address is where this instance answers others; it is told with the duty.
+		Address string
 		// Lease is the length of the leases of runs.
 		Lease clock.Millis
 		// Takeover is the time without a renewal after which the duty is taken.
@@ -114,6 +117,8 @@
 		Parts
 		op      Options
 		planner *planner.Planner
+		// term is nil while another instance decides.
+		term atomic.Pointer[term]
 	}
 )
 
@@ -136,7 +141,9 @@
 			return
 		}
 		te := newTerm(co, du)
+		co.term.Store(te)
 		te.run(ctx)
+		co.term.Store(nil)
 		if ctx.Err() != nil && !te.lost.Load() {
 			du.release(last)
 		}
--- a/wagtailcroftd/conductor/duty.go
+++ b/wagtailcroftd/conductor/duty.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
@@ -53,7 +54,7 @@
 func newDuty(st Store, cl clock.Clock, log zerolog.Logger, me Meters, op Options) *duty {
 	return &duty{
 		store: st, cl: cl, log: log, meters: me, takeover: op.Takeover, yield: op.Yield,
-		me: ledger.Holder{Instance: op.Instance, Incarnation: op.Incarnation},
+		me: ledger.Holder{Instance: op.Instance, Incarnation: op.Incarnation, Address: op.Address},
 	}
 }
 
@@ -202,6 +203,23 @@
 	}
 }
 
+// Holder reads who holds the duty; an empty instance means nobody. Errors are of the kind
+// StoreUnavailable.
+func (co *Conductor) Holder(ctx context.Context) (ledger.Holder, error) {
+	ctx, cancel := co.Clock.Bound(ctx, writeTimeout)
+	defer cancel()
+	page, err := co.Store.Read(ctx, recorder.Duty, "", "", 0)
+	if err != nil {
+		return ledger.Holder{}, problem.New(problem.StoreUnavailable, "%v", err)
+	}
+	for _, ro := range page.Rows {
+		if ro.Key == recorder.DutyKey {
+			return recorder.Decode[ledger.Holder](ro)
+		}
+	}
+	return ledger.Holder{}, nil
+}
+
 // release gives the duty up, so that another instance takes it at once.
 func (du *duty) release(ctx context.Context) {
 	next := *du.holder
--- /dev/null
+++ b/wagtailcroftd/conductor/view.go
@@ -0,0 +1,202 @@
+package conductor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+// States of a worker.
+const (
+	// WorkerLive may get new work.
+	WorkerLive WorkerState = iota
+	// WorkerLeaving gets none, because it drains or is emptied for its upkeep.
+	WorkerLeaving
+	// WorkerBanned gets none for a while, because work failed there or was refused.
+	WorkerBanned
+	// WorkerSilent has not answered its last call, or none yet.
+	WorkerSilent
+)
+
+type (
+	// WorkerState tells whether a worker may get new work, and why not.
+	WorkerState int
+
+	// View is what the holder of the duty knows, copied at one moment.
+	View struct {
+		Fence meter.LeaseEpoch
+		// Jobs are those that have not been moved to the ended ones, in order of acceptance.
+		Jobs []JobView
+		// Workers are in order of their id.
+		Workers []WorkerView
+		// Workspaces are those of the configuration in force.
+		Workspaces []policy.Workspace
+	}
+
+	// JobView is a job and what it waits for.
+	JobView struct {
+		Job workload.Job
+		// Urgent means that its queue has priority 0.
+		Urgent bool
+		Waited clock.Millis
+		// Why says of each step what it waits for, or how far it is.
+		Why []string
+	}
+
+	// WorkerView is a worker and what holds room there.
+	WorkerView struct {
+		Report fleet.Report
+		State  WorkerState
+		Free   workload.Room
+		Tasks  []workload.TaskKey
+	}
+)
+
+// View copies what this instance knows; false means that it does not decide.
+func (co *Conductor) View() (View, bool) {
+	te := co.term.Load()
+	if te == nil {
+		return View{}, false
+	}
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	po := co.Policies.Current()
+	if !te.loaded || po == nil {
+		return View{}, false
+	}
+	now := te.Clock.Now()
+	vi := View{Fence: te.duty.holder.Fence, Workspaces: slices.Clone(po.Workspaces)}
+	for _, wo := range te.workers {
+		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
+	}
+	slices.SortFunc(vi.Workers, func(a, b WorkerView) int { return cmp.Compare(a.Report.ID, b.Report.ID) })
+	for _, en := range te.sorted() {
+		vi.Jobs = append(vi.Jobs, te.viewJob(en, po, vi.Workers, now))
+	}
+	return vi, true
+}
+
+func (te *term) viewWorker(wo *worker, now clock.Millis) WorkerView {
+	view := WorkerView{Report: wo.report, Free: wo.report.Capacity}
+	view.Report.ID = wo.id
+	switch {
+	case wo.report.Draining || wo.emptied:
+		view.State = WorkerLeaving
+	case !wo.met || !wo.reported || wo.failures >= failuresTrusted:
+		view.State = WorkerSilent
+	case now < wo.blocked:
+		view.State = WorkerBanned
+	}
+	for key := range wo.runs {
+		view.Tasks = append(view.Tasks, key)
+		if step := te.stepOf(key); step != nil {
+			view.Free = view.Free.Sub(step.Reserved())
+		}
+	}
+	slices.SortFunc(view.Tasks, func(a, b workload.TaskKey) int { return cmp.Compare(a.String(), b.String()) })
+	return view
+}
+
+func (te *term) viewJob(en *entry, po *policy.Policy, workers []WorkerView, now clock.Millis) JobView {
+	view := JobView{Job: *en.job, Waited: now - en.arrived}
+	view.Job.Stages = make([]*workload.Stage, 0, len(en.job.Stages))
+	for _, st := range en.job.Stages {
+		copied := *st
+		copied.Tasks = slices.Clone(st.Tasks)
+		view.Job.Stages = append(view.Job.Stages, &copied)
+	}
+	qu := po.Queue(en.job.Queue)
+	if qu == nil {
+		view.Why = []string{fmt.Sprintf("the configuration has no queue %s any more", en.job.Queue)}
+		return view
+	}
+	view.Urgent = qu.Priority == 0
+	pool := poolOf(workers, qu.Pool)
+	for _, st := range en.job.Stages {
+		view.Why = append(view.Why, te.explain(en.job, st, qu, pool))
+	}
+	if len(en.job.Stages) == 0 {
+		view.Why = []string{"its first occurrence is not due yet"}
+	}
+	return view
+}
+
+// poolOf lists the workers of a pool.
+func poolOf(workers []WorkerView, pool identifier.Pool) []WorkerView {
+	var some []WorkerView
+	for _, wo := range workers {
+		if wo.Report.Pool == pool {
+			some = append(some, wo)
+		}
+	}
+	return some
+}
+
+// explain says what a stage waits for, or how far it is.
+func (te *term) explain(jo *workload.Job, st *workload.Stage, qu *policy.Queue, pool []WorkerView) string {
+	step := jo.StepOf(st)
+	var waiting, held, done int
+	for i := range st.Tasks {
+		switch {
+		case st.Tasks[i].Held():
+			held++
+		case st.Tasks[i].Phase == workload.Done:
+			done++
+		default:
+			waiting++
+		}
+	}
+	name := fmt.Sprintf("step %d of occurrence %d", st.Step, st.Occurrence)
+	switch {
+	case jo.State.Final():
+		return fmt.Sprintf("%s: the job is %s, %d runs must end", name, jo.State, held)
+	case !jo.Ready(st):
+		return fmt.Sprintf("%s waits for steps %v", name, step.After)
+	case waiting == 0:
+		return fmt.Sprintf("%s: %d tasks run, %d are done", name, held, done)
+	case qu.Advised && te.Advisers != nil && len(te.tickets(jo, st)) == 0:
+		return fmt.Sprintf("%s: %d tasks wait for the advice service to approve workers", name, waiting)
+	}
+	return fmt.Sprintf("%s: %d tasks run, %d are done, %d wait for %s", name, held, done, waiting, room(step, pool))
+}
+
+// tickets lists the workers that the advice service has approved for a stage.
+func (te *term) tickets(jo *workload.Job, st *workload.Stage) map[identifier.Worker]ticket {
+	if ad := te.advices[keyOf(jo, st)]; ad != nil {
+		return ad.tickets
+	}
+	return nil
+}
+
+// room says how much room a step wants and a pool has.
+func room(step *workload.Step, pool []WorkerView) string {
+	var free, most meter.Accelerators
+	usable, fitting := 0, 0
+	for _, wo := range pool {
+		if wo.State != WorkerLive {
+			continue
+		}
+		usable++
+		free += max(wo.Free.Accelerators, 0)
+		most = max(most, wo.Free.Accelerators)
+		if wo.Free.Fits(step.Reserved()) {
+			fitting++
+		}
+	}
+	wanted := "room"
+	if step.Gang {
+		wanted = "room at one time"
+		if step.SameRack {
+			wanted = "room at one time on one rack"
+		}
+	}
+	return fmt.Sprintf("%s of %d millicores, %d MiB and %d accelerators each; %d of %d usable workers have it, %d accelerators are free, at most %d on one worker",
+		wanted, step.Need.CPU, step.Need.Memory, step.Need.Accelerators, fitting, usable, free, most)
+}
--- a/wagtailcroftd/daemon/daemon.go
+++ b/wagtailcroftd/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/claimer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/configurer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/counter"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dialer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dispatcher"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/executor"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/heartbeater"
@@ -122,9 +123,9 @@
 		da.closer = append(da.closer, client.CloseIdleConnections)
 	}
 	if da.outside.Peers == nil {
-		dialer := heartbeater.NewDialer(da.outside.Clock, peerTimeout, da.wire.DialContext)
-		da.outside.Peers = dialer
-		da.closer = append(da.closer, dialer.Close)
+		di := dialer.New(da.outside.Clock, peerTimeout, da.wire.DialContext)
+		da.outside.Peers = di
+		da.closer = append(da.closer, di.Close)
 	}
 	if da.outside.Runners == nil {
 		runners := dispatcher.NewRunners(da.tracer, runnerConnections)
--- a/wagtailcroftd/instrumenter/store.go
+++ b/wagtailcroftd/instrumenter/store.go
@@ -8,6 +8,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 )
 
 type (
@@ -19,24 +20,27 @@
 		Reset()
 	}
 
-	// Store counts the calls to the table service by kind, table and outcome, and times those
-	// that do not wait for a change.
+	// Store counts the calls to the table service by kind, table and outcome, and times and
+	// traces those that do not wait for a change.
 	Store struct {
 		Rows
 		meters *Instrumenter
+		tracer *tracer.Tracer
 		cl     clock.Clock
 	}
 )
 
 // NewStore returns a client that counts the calls of another.
-func NewStore(rows Rows, in *Instrumenter, cl clock.Clock) *Store {
-	return &Store{Rows: rows, meters: in, cl: cl}
+func NewStore(rows Rows, in *Instrumenter, tr *tracer.Tracer, cl clock.Clock) *Store {
+	return &Store{Rows: rows, meters: in, tracer: tr, cl: cl}
 }
 
 // Write applies a transaction as the client beneath does.
 func (st *Store) Write(ctx context.Context, tr rowstore.Transaction) (meter.RowVersion, error) {
 	began := st.cl.Now()
+	ctx, end := st.tracer.Start(ctx, "store.write")
 	version, err := st.Rows.Write(ctx, tr)
+	end(err)
 	st.meters.Took("storeWrite", st.cl.Now()-began)
 	st.meters.Count("storeWrites", outcome(err))
 	return version, err
@@ -45,7 +49,9 @@
 // Read reads rows as the client beneath does.
 func (st *Store) Read(ctx context.Context, ta rowstore.Table, from, to string, limit int) (rowstore.Page, error) {
 	began := st.cl.Now()
+	ctx, end := st.tracer.Start(ctx, "store.read")
 	page, err := st.Rows.Read(ctx, ta, from, to, limit)
+	end(err)
 	st.meters.Took("storeRead", st.cl.Now()-began)
 	st.meters.Count("storeReads", string(ta)+"."+outcome(err))
 	return page, err
--- /dev/null
+++ b/wagtailcroftd/instrumenter/workers.go
@@ -0,0 +1,75 @@
+package instrumenter
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
+)
+
+type (
+	// Orders carries orders to workers. Errors are those of package fleet.
+	Orders interface {
+		Start(ctx context.Context, to fleet.Target, or fleet.StartOrder) (fleet.Status, error)
+		Stop(ctx context.Context, to fleet.Target, or fleet.StopOrder) (fleet.Status, error)
+		Hold(ctx context.Context, to fleet.Target, or fleet.HoldOrder) (fleet.Status, error)
+		Pace(ctx context.Context, to fleet.Target, or fleet.PaceOrder) (fleet.Status, error)
+		Reset(to fleet.Target)
+		Forget(address string)
+	}
+
+	// Workers counts and traces the orders to workers.
+	Workers struct {
+		Orders
+		meters *Instrumenter
+		tracer *tracer.Tracer
+	}
+)
+
+// NewWorkers returns a client that counts and traces the orders of another.
+func NewWorkers(or Orders, in *Instrumenter, tr *tracer.Tracer) *Workers {
+	return &Workers{Orders: or, meters: in, tracer: tr}
+}
+
+// Start carries an order as the client beneath does.
+func (wo *Workers) Start(ctx context.Context, to fleet.Target, or fleet.StartOrder) (fleet.Status, error) {
+	ctx, end := wo.tracer.Start(ctx, "worker.start")
+	st, err := wo.Orders.Start(ctx, to, or)
+	return wo.ended("start", st, err, end)
+}
+
+// Stop carries an order as the client beneath does.
+func (wo *Workers) Stop(ctx context.Context, to fleet.Target, or fleet.StopOrder) (fleet.Status, error) {
+	ctx, end := wo.tracer.Start(ctx, "worker.stop")
+	st, err := wo.Orders.Stop(ctx, to, or)
+	return wo.ended("stop", st, err, end)
+}
+
+// Hold carries an order as the client beneath does.
+func (wo *Workers) Hold(ctx context.Context, to fleet.Target, or fleet.HoldOrder) (fleet.Status, error) {
+	ctx, end := wo.tracer.Start(ctx, "worker.hold")
+	st, err := wo.Orders.Hold(ctx, to, or)
+	return wo.ended("hold", st, err, end)
+}
+
+// Pace carries an order as the client beneath does.
+func (wo *Workers) Pace(ctx context.Context, to fleet.Target, or fleet.PaceOrder) (fleet.Status, error) {
+	ctx, end := wo.tracer.Start(ctx, "worker.pace")
+	st, err := wo.Orders.Pace(ctx, to, or)
+	return wo.ended("pace", st, err, end)
+}
+
+func (wo *Workers) ended(order string, st fleet.Status, err error, end func(error)) (fleet.Status, error) {
+	end(err)
+	label := "refused"
+	switch {
+	case err == nil:
+		label = "taken"
+	case eris.Is(err, fleet.ErrSilent):
+		label = "silent"
+	}
+	wo.meters.Count("orders", order+"."+label)
+	return st, err
+}
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -193,22 +193,32 @@
 // State tells the state of a job. Errors are of the kinds UnknownJob, which is certain,
 // and StoreUnavailable.
 func (in *Intake) State(ctx context.Context, ac policy.Access, id identifier.Job) (workload.State, error) {
+	state, _, err := in.Find(ctx, id)
+	if problem.KindOf(err) == problem.UnknownJob {
+		in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Msg("jobUnknown")
+	}
+	return state, err
+}
+
+// Find tells the state of a job of any queue, and why it failed if it did. Errors are those
+// of State.
+func (in *Intake) Find(ctx context.Context, id identifier.Job) (workload.State, string, error) {
 	for _, table := range []rowstore.Table{recorder.Jobs, recorder.Ended} {
 		row, err := in.read(ctx, recorder.JobKey(table, id))
 		if err != nil {
-			return 0, err
+			return 0, "", err
 		}
 		if row.Version == 0 {
 			continue
 		}
 		pr, err := recorder.Decode[ledger.Progress](row)
 		if err != nil {
-			return 0, err
+			return 0, "", err
 		}
-		return recorder.State(pr.State)
+		state, err := recorder.State(pr.State)
+		return state, pr.Reason, err
 	}
-	in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Msg("jobUnknown")
-	return 0, problem.New(problem.UnknownJob, "the store holds no job %s", id)
+	return 0, "", problem.New(problem.UnknownJob, "the store holds no job %s", id)
 }
 
 // Cancel records that a caller withdraws a job. A job that has ended stays as it is.
--- a/wagtailcroftd/operatorserver/work.go
+++ b/wagtailcroftd/operatorserver/work.go
@@ -7,7 +7,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/rows"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/registrar"
 )
@@ -173,3 +175,42 @@
 	view.State = stateOf(false, !req.Params.Undo, false)
 	return operator.DrainTarget200JSONResponse(view), nil
 }
+
+// ListWorkspaces returns what each workspace is guaranteed, uses and has borrowed.
+func (se *Server) ListWorkspaces(ctx context.Context, _ operator.ListWorkspacesRequestObject) (operator.ListWorkspacesResponseObject, error) {
+	jobs, err := se.Jobs.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	list := operator.WorkspaceList{Workspaces: []operator.WorkspaceView{}}
+	for _, row := range se.Table.Snapshot().Rows {
+		view := operator.WorkspaceView{Workspace: row.Workspace}
+		for _, gu := range row.Cells.Guarantees {
+			view.Guaranteed += meter.Accelerators(gu.Count) * total(gu.Shape)
+		}
+		for _, jo := range jobs {
+			if jo.Workspace == row.Workspace {
+				addJob(&view, jo)
+			}
+		}
+		list.Workspaces = append(list.Workspaces, view)
+	}
+	return operator.ListWorkspaces200JSONResponse(list), nil
+}
+
+func addJob(view *operator.WorkspaceView, row rows.JobRow) {
+	view.Jobs++
+	switch {
+	case len(row.Workers) == 0:
+		view.Waiting += total(row.Shape)
+	case row.Guaranteed:
+		view.Used += total(row.Shape)
+	default:
+		view.Borrowed += total(row.Shape)
+	}
+}
+
+// total is the accelerators of a whole gang.
+func total(sh types.Shape) meter.Accelerators {
+	return meter.Accelerators(sh.Members) * sh.Accelerators
+}
--- /dev/null
+++ b/wagtailcroftd/overseer/overseer.go
@@ -0,0 +1,216 @@
+// Package overseer answers operators about step jobs on any instance: from what this one
+// knows while it decides, else from what the deciding instance tells over net/rpc.
+package overseer
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"slices"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/replier"
+)
+
+type (
+	// Decider knows all while this instance decides.
+	Decider interface {
+		View() (conductor.View, bool)
+	}
+
+	// Duty tells who decides.
+	Duty interface {
+		Holder(ctx context.Context) (ledger.Holder, error)
+	}
+
+	// Jobs finds jobs in the store, also ended ones.
+	Jobs interface {
+		Find(ctx context.Context, id identifier.Job) (workload.State, string, error)
+	}
+
+	// Policies gives the configuration in force, or nil before there is one.
+	Policies interface {
+		Current() *policy.Policy
+	}
+
+	// Caller calls a method of another instance.
+	Caller interface {
+		Call(ctx context.Context, address, method string, args, reply any) error
+	}
+
+	// Options are what an overseer is made from.
+	Options struct {
+		Instance identifier.Instance
+		Zone     identifier.Zone
+		Decider  Decider
+		Duty     Duty
+		Jobs     Jobs
+		Policies Policies
+		Caller   Caller
+		Tracer   *tracer.Tracer
+		Log      zerolog.Logger
+	}
+
+	// Overseer answers operators.
+	Overseer struct{ Options }
+)
+
+// New returns an overseer.
+func New(op Options) *Overseer { return &Overseer{op} }
+
+// Handler serves the operator API, and metrics under /debug/vars.
+func (ov *Overseer) Handler() http.Handler {
+	re := replier.New(ov.Log)
+	strict := operator.NewStrictHandlerWithOptions(ov, nil, operator.StrictHTTPServerOptions{
+		RequestErrorHandlerFunc: re.BadRequest, ResponseErrorHandlerFunc: re.Problem,
+	})
+	api := operator.HandlerWithOptions(strict, operator.GorillaServerOptions{BaseRouter: mux.NewRouter(), ErrorHandlerFunc: re.BadRequest})
+	router := mux.NewRouter()
+	router.Handle("/debug/vars", expvar.Handler())
+	router.PathPrefix("/v1/").Handler(ov.Tracer.Handler("entry.operator", api))
+	return router
+}
+
+// ListJobs returns the jobs that have not ended.
+func (ov *Overseer) ListJobs(ctx context.Context, _ operator.ListJobsRequestObject) (operator.ListJobsResponseObject, error) {
+	all, err := ov.overview(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ListJobs200JSONResponse{Jobs: all.Jobs}, nil
+}
+
+// ShowJob returns one job; of an ended one only its state is kept.
+func (ov *Overseer) ShowJob(ctx context.Context, req operator.ShowJobRequestObject) (operator.ShowJobResponseObject, error) {
+	jo, err := ov.job(ctx, req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ShowJob200JSONResponse(jo), nil
+}
+
+// WhyJob says what each step of a job waits for, or where it runs.
+func (ov *Overseer) WhyJob(ctx context.Context, req operator.WhyJobRequestObject) (operator.WhyJobResponseObject, error) {
+	jo, err := ov.job(ctx, req.JobID)
+	if err != nil {
+		return nil, err
+	}
+	lines := slices.Clone(jo.Why)
+	if jo.Reason != "" {
+		lines = append(lines, jo.Reason)
+	}
+	return operator.WhyJob200JSONResponse{JobID: jo.JobID, State: jo.State, Lines: append([]string{}, lines...)}, nil
+}
+
+// job looks for a job at the deciding instance, then in the store.
+func (ov *Overseer) job(ctx context.Context, id identifier.Job) (operator.JobView, error) {
+	all, err := ov.overview(ctx)
+	if err != nil {
+		return operator.JobView{}, err
+	}
+	if i := slices.IndexFunc(all.Jobs, func(jo operator.JobView) bool { return jo.JobID == id }); i >= 0 {
+		return all.Jobs[i], nil
+	}
+	state, reason, err := ov.Jobs.Find(ctx, id)
+	if err != nil {
+		return operator.JobView{}, err
+	}
+	return operator.JobView{JobID: id, State: state.String(), Reason: reason, Workers: []identifier.Worker{}}, nil
+}
+
+// ListTargets returns the workers of all zones.
+func (ov *Overseer) ListTargets(ctx context.Context, _ operator.ListTargetsRequestObject) (operator.ListTargetsResponseObject, error) {
+	all, err := ov.overview(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ListTargets200JSONResponse{Targets: all.Targets}, nil
+}
+
+// ListWorkspaces returns what each workspace is guaranteed, uses and has borrowed.
+func (ov *Overseer) ListWorkspaces(ctx context.Context, _ operator.ListWorkspacesRequestObject) (operator.ListWorkspacesResponseObject, error) {
+	all, err := ov.overview(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ListWorkspaces200JSONResponse{Workspaces: all.Workspaces}, nil
+}
+
+// GetStatus returns this instance and the deciding one, with the configuration in force
+// here.
+func (ov *Overseer) GetStatus(ctx context.Context, _ operator.GetStatusRequestObject) (operator.GetStatusResponseObject, error) {
+	holder, err := ov.Duty.Holder(ctx)
+	if err != nil {
+		return nil, err
+	}
+	status := operator.Status{TableVersion: ov.version()}
+	status.Instances = append(status.Instances, operator.InstanceView{
+		Instance: ov.Instance, Zone: ov.Zone, TableVersion: ov.version(), State: operator.InstanceViewStateConfirmed, Scheduler: holder.Instance == ov.Instance,
+	})
+	if holder.Instance != "" && holder.Instance != ov.Instance {
+		status.Instances = append(status.Instances, operator.InstanceView{Instance: holder.Instance, State: operator.InstanceViewStateConfirmed, Scheduler: true})
+	}
+	return operator.GetStatus200JSONResponse(status), nil
+}
+
+func (ov *Overseer) version() meter.TableVersion {
+	if po := ov.Policies.Current(); po != nil {
+		return meter.TableVersion(po.Version)
+	}
+	return 0
+}
+
+// GetTable returns the workspaces of the configuration in force here. The platform keeps
+// guarantees as accelerators of any worker, and neither weights nor limits.
+func (ov *Overseer) GetTable(context.Context, operator.GetTableRequestObject) (operator.GetTableResponseObject, error) {
+	po := ov.Policies.Current()
+	if po == nil {
+		return nil, problem.New(problem.Unconfirmed, "no configuration has been read yet")
+	}
+	table := operator.Table{TableVersion: ov.version(), Confirmed: true, Rows: []operator.RowView{}}
+	for _, ws := range po.Workspaces {
+		row := operator.RowView{Workspace: ws.Name, RowVersion: po.Version, Cells: types.Cells{Weight: 1, UrgentAllowed: true, TokenDigests: []string{}}}
+		row.Cells.Guarantees = []types.Guarantee{}
+		if ws.Guaranteed > 0 {
+			shape := types.Shape{Members: 1, Accelerators: 1, Adjacency: types.AdjacencyWorker}
+			row.Cells.Guarantees = append(row.Cells.Guarantees, types.Guarantee{Count: int32(ws.Guaranteed), Shape: shape})
+		}
+		for _, key := range ws.Keys {
+			row.Cells.TokenDigests = append(row.Cells.TokenDigests, identifier.Digest(key))
+		}
+		table.Rows = append(table.Rows, row)
+	}
+	return operator.GetTable200JSONResponse(table), nil
+}
+
+// SetRow is refused: the operators' configuration lies in the platform's store.
+func (ov *Overseer) SetRow(context.Context, operator.SetRowRequestObject) (operator.SetRowResponseObject, error) {
+	return nil, problem.New(problem.KeptByPlatform, "the table of workspaces")
+}
+
+// GetHistory is refused, as SetRow.
+func (ov *Overseer) GetHistory(context.Context, operator.GetHistoryRequestObject) (operator.GetHistoryResponseObject, error) {
+	return nil, problem.New(problem.KeptByPlatform, "the history of the configuration")
+}
+
+// DrainTarget is refused: workers drain by their own report, machines by a wave.
+func (ov *Overseer) DrainTarget(context.Context, operator.DrainTargetRequestObject) (operator.DrainTargetResponseObject, error) {
+	return nil, problem.New(problem.KeptByPlatform, "the upkeep of machines")
+}
+
+// CancelAnyJob is refused: a job is cancelled with a key of its workspace.
+func (ov *Overseer) CancelAnyJob(context.Context, operator.CancelAnyJobRequestObject) (operator.CancelAnyJobResponseObject, error) {
+	return nil, problem.New(problem.KeptByPlatform, "the cancellation of jobs, which needs a key of their workspace")
+}
--- /dev/null
+++ b/wagtailcroftd/overseer/overview.go
@@ -0,0 +1,128 @@
+package overseer
+
+import (
+	"slices"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
+)
+
+var workerStates = map[conductor.WorkerState]operator.TargetViewState{
+	conductor.WorkerLive:    operator.TargetViewStateLive,
+	conductor.WorkerLeaving: operator.TargetViewStateLeaving,
+	conductor.WorkerBanned:  operator.TargetViewStateQuarantined,
+	conductor.WorkerSilent:  operator.TargetViewStateSilent,
+}
+
+// newOverview puts what the conductor knows into messages.
+func newOverview(in identifier.Instance, view conductor.View) operator.Overview {
+	all := operator.Overview{
+		Deciding: true, Instance: in, Fence: view.Fence,
+		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaces(view),
+	}
+	for i := range view.Jobs {
+		all.Jobs = append(all.Jobs, jobView(&view.Jobs[i]))
+	}
+	for _, wo := range view.Workers {
+		all.Targets = append(all.Targets, workerView(wo))
+	}
+	return all
+}
+
+func jobView(jv *conductor.JobView) operator.JobView {
+	jo := &jv.Job
+	out := operator.JobView{
+		JobID: jo.ID, Workspace: jo.Workspace, Class: types.ClassNormal, State: jo.State.String(), Reason: jo.Reason,
+		Queue: string(jo.Queue), AgeMillis: jv.Waited, Why: jv.Why, Workers: []identifier.Worker{},
+	}
+	if jv.Urgent {
+		out.Class = types.ClassUrgent
+	}
+	for _, st := range jo.Stages {
+		out.Steps = append(out.Steps, stepView(jo, st))
+	}
+	jo.Held(func(_ *workload.Stage, _ int, ta *workload.Task) {
+		out.Attempt = max(out.Attempt, int(ta.Run))
+		if !slices.Contains(out.Workers, ta.Worker) {
+			out.Workers = append(out.Workers, ta.Worker)
+		}
+	})
+	return out
+}
+
+func stepView(jo *workload.Job, st *workload.Stage) operator.StepView {
+	step := jo.StepOf(st)
+	out := operator.StepView{
+		Occurrence: st.Occurrence, Step: st.Step, Tasks: len(st.Tasks), Failures: st.Failures, Gang: step.Gang, Accelerators: step.Need.Accelerators,
+	}
+	for i := range st.Tasks {
+		ta := &st.Tasks[i]
+		if !step.Gang {
+			out.Failures += ta.Failures
+		}
+		switch {
+		case ta.Held():
+			out.Running++
+		case ta.Phase == workload.Done:
+			out.Done++
+		default:
+			out.Waiting++
+		}
+	}
+	return out
+}
+
+func workerView(wo conductor.WorkerView) operator.TargetView {
+	out := operator.TargetView{
+		TargetID: identifier.Target(wo.Report.ID), Kind: operator.TargetViewKindWorker, Zone: wo.Report.Zone, Rack: wo.Report.Rack,
+		Accelerators: wo.Report.Capacity.Accelerators, State: workerStates[wo.State], Pool: string(wo.Report.Pool),
+		FreeAccelerators: wo.Free.Accelerators, FreeMilliCores: int64(wo.Free.CPU), Tasks: []string{},
+	}
+	for _, key := range wo.Tasks {
+		out.Tasks = append(out.Tasks, key.String())
+	}
+	return out
+}
+
+// workspaces adds up what each workspace has and wants.
+func workspaces(view conductor.View) []operator.WorkspaceView {
+	list := make([]operator.WorkspaceView, 0, len(view.Workspaces))
+	for _, ws := range view.Workspaces {
+		out := operator.WorkspaceView{Workspace: ws.Name, Guaranteed: ws.Guaranteed}
+		for i := range view.Jobs {
+			if jv := &view.Jobs[i]; jv.Job.Workspace == ws.Name {
+				addJob(&out, jv)
+			}
+		}
+		if beyond := out.Used - out.Guaranteed; beyond > 0 {
+			out.Used, out.Borrowed = out.Guaranteed, out.Borrowed+beyond
+		}
+		list = append(list, out)
+	}
+	return list
+}
+
+func addJob(out *operator.WorkspaceView, jv *conductor.JobView) {
+	out.Jobs++
+	for _, st := range jv.Job.Stages {
+		need := jv.Job.StepOf(st).Need.Accelerators
+		for i := range st.Tasks {
+			addTask(out, jv, &st.Tasks[i], need)
+		}
+	}
+}
+
+func addTask(out *operator.WorkspaceView, jv *conductor.JobView, ta *workload.Task, need meter.Accelerators) {
+	switch {
+	case ta.Held() && jv.Urgent:
+		out.Used += need
+	case ta.Held():
+		out.Borrowed += need
+	case ta.Phase == workload.Waiting && !jv.Job.State.Final():
+		out.Waiting += need
+	}
+}
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,16 +18,23 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/conductor"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dialer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/overseer"
 )
 
 // drainShare is the part of the grace in which a stopping instance still takes calls, so
 // that those who do not know yet that it stops are served.
 const drainShare = 0.5
 
+// peerTimeout bounds a call to another instance: two ways of 8 ms between regions, and the
+// copy of all jobs and workers.
+const peerTimeout = 2 * clock.Second
+
 // observeEvery is the time between two log lines with the counters.
 const observeEvery = 10 * clock.Second
 
@@ -43,8 +51,12 @@
 		Log   zerolog.Logger
 		// Meters counts events and times.
 		Meters *instrumenter.Instrumenter
+		// Tracer makes spans.
+		Tracer *tracer.Tracer
 		// Transport carries the calls to the platform; nil stands for TCP.
 		Transport http.RoundTripper
+		// Dial opens connections to other instances.
+		Dial dialer.Dial
 	}
 
 	// Participant is one instance.
@@ -56,6 +68,9 @@
 		follower  *follower.Follower
 		intake    *intake.Intake
 		conductor *conductor.Conductor
+		overseer  *overseer.Overseer
+		dialer    *dialer.Dialer
+		tracer    *tracer.Tracer
 		// stopping is set once.
 		stopping atomic.Bool
 	}
@@ -63,12 +78,12 @@
 
 // New returns an instance that does nothing until Run.
 func New(set member.Settings, ou Outside) *Participant {
-	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log, meters: ou.Meters}
-	store := instrumenter.NewStore(platform.NewStore(set.StoreAddress, ou.Transport), ou.Meters, ou.Clock)
+	pa := &Participant{set: set, cl: ou.Clock, log: ou.Log, meters: ou.Meters, tracer: ou.Tracer}
+	store := instrumenter.NewStore(platform.NewStore(set.StoreAddress, ou.Transport), ou.Meters, ou.Tracer, ou.Clock)
 	pa.follower = follower.New(follower.Source{Key: platform.PolicyKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, ou.Clock, ou.Log)
 	pa.intake = intake.New(store, pa.follower, ou.Clock, ou.Log, intake.Options{PolicyKey: platform.PolicyKey, Unconfirmed: set.UnconfirmedMillis, Meters: ou.Meters})
 	parts := conductor.Parts{
-		Store: store, Workers: platform.NewWorkers(ou.Transport), Policies: pa.follower,
+		Store: store, Workers: instrumenter.NewWorkers(platform.NewWorkers(ou.Transport), ou.Meters, ou.Tracer), Policies: pa.follower,
 		Reports:    conductor.Reports{Table: platform.ReportTable, Decode: platform.DecodeReport},
 		WaveStatus: platform.EncodeWaveStatus, Clock: ou.Clock, Meters: ou.Meters, Log: ou.Log,
 	}
@@ -79,14 +94,29 @@
 		parts.Machines = platform.NewMachines(set.MachinesAddress, ou.Transport)
 	}
 	pa.conductor = conductor.New(parts, conductor.Options{
-		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Lease: set.LeaseMillis, Takeover: set.TakeoverMillis, Yield: set.YieldMillis,
+		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Address: set.PeerAddress, Lease: set.LeaseMillis, Takeover: set.TakeoverMillis, Yield: set.YieldMillis,
 		StopGrace: set.StopGraceMillis, Settle: set.LeaseOfDutyMillis, Retention: set.RetentionMillis,
 	})
+	pa.dialer = dialer.New(ou.Clock, peerTimeout, ou.Dial)
+	pa.overseer = overseer.New(overseer.Options{
+		Instance: set.Instance, Zone: set.Zone, Decider: pa.conductor, Duty: pa.conductor, Jobs: pa.intake, Policies: pa.follower,
+		Caller: pa.dialer, Tracer: ou.Tracer, Log: ou.Log,
+	})
 	return pa
 }
 
 // Callers is the handler of the clients' calls.
-func (pa *Participant) Callers() http.Handler { return platform.NewFront(pa.intake, pa.cl) }
+func (pa *Participant) Callers() http.Handler {
+	return pa.tracer.Handler("entry.caller", platform.NewFront(pa.intake, pa.cl))
+}
+
+// Operators is the handler of the operators' calls and of metrics.
+func (pa *Participant) Operators() http.Handler { return pa.overseer.Handler() }
+
+// ServePeers answers other instances until the listener is closed.
+func (pa *Participant) ServePeers(ln net.Listener) error {
+	return dialer.Serve(ln, overseer.ServiceName, pa.overseer.Service())
+}
 
 // Readiness is the handler of the platform's question whether new connections are welcome.
 func (pa *Participant) Readiness() http.Handler {
@@ -110,6 +140,7 @@
 		resign()
 	}
 	parts.Wait()
+	pa.dialer.Close()
 }
 
 // observe logs, once a while, what the instance has counted.
--- a/wagtailcroftd/participant/scene_test.go
+++ b/wagtailcroftd/participant/scene_test.go
@@ -24,6 +24,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
@@ -46,6 +47,7 @@
 	// scene is a cluster with some instances, in a bubble of testing/synctest.
 	scene struct {
 		t         asserter.Test
+		peers     *peers
 		cluster   *fleet.Cluster
 		instances []*instance
 		config    wire.Config
@@ -70,7 +72,7 @@
 }
 
 func playIn(t asserter.Test, instances, runners int, fn func(sc *scene)) {
-	sc := &scene{t: t, cluster: fleet.New(fleet.Options{
+	sc := &scene{t: t, peers: newPeers(), cluster: fleet.New(fleet.Options{
 		Runners: runners, PerRack: 4, MaxLease: leaseTime, Drain: 6 * time.Second, GangTimeout: 3 * time.Second,
 		Room: workload.Room{CPU: 64000, Memory: 128000, Accelerators: 8},
 	})}
@@ -123,9 +125,15 @@
 	in.pa = participant.New(member.Settings{
 		Instance: identifier.Instance(name), StoreAddress: fleet.StoreAddress, MemoryLimit: meter.Bytes(1 << 28),
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeaseOfDutyMillis: 3000,
-		LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
+		PeerAddress: name, LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900,
-	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Meters: instrumenter.New(), Transport: sc.cluster.Transport(name)})
+	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Meters: instrumenter.New(), Transport: sc.cluster.Transport(name), Tracer: tracer.Nop(), Dial: sc.peers.dial})
+	ln := sc.peers.listen(name)
+	go func() {
+		<-ctx.Done()
+		_ = ln.Close() // cannot fail
+	}()
+	go func() { asserter.OK(sc.t, in.pa.ServePeers(ln)) }()
 	go func() {
 		defer close(in.ended)
 		in.pa.Run(ctx, in.stop)
--- a/wagtailcroftd/replier/replier.go
+++ b/wagtailcroftd/replier/replier.go
@@ -49,6 +49,8 @@
 	problem.Unconfirmed:       http.StatusServiceUnavailable,
 	problem.Stopping:          http.StatusServiceUnavailable,
 	problem.PeerUnavailable:   http.StatusServiceUnavailable,
+	problem.KeptByPlatform:    http.StatusNotImplemented,
+	problem.UnknownJob:        http.StatusNotFound,
 	problem.Fenced:            http.StatusServiceUnavailable,
 	problem.DeadlineTooShort:  http.StatusGatewayTimeout,
 	problem.OutcomeUnknown:    http.StatusGatewayTimeout,
