Take the duty at once when its holder's process ends or the store turns it away

Change: the elector is a package of its own. Each instance enters its address in the store when it starts; a standby keeps one connection to the holder, and takes the duty when that ends and nobody listens there any more; a holder whose records fail for 0.5 s asks three others over net/rpc to take it. Both only hasten: the row's condition decides, and the word of another is dropped when the store does not serve the one who was asked. Ruled out: shorter renewals and takeover times (more calls, and takeovers while the store is slow); asking all instances at once. A holder that loses power is still waited for, 2.5 s. Tests: 'another takes the duty at once', 'a connection that breaks', 'a holder that the store turns away', 'nobody takes the duty while the store serves nobody'; the last failed first, for a hint outlived an outage.

--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -58,6 +58,15 @@
 	Renewals int64 `json:"renewals"`
 }
 
+// Member Table members, key INSTANCE. Written by each instance when it starts, so that others can call it.
+type Member struct {
+	// Address Where the instance answers others over net/rpc.
+	Address string `json:"address"`
+
+	// Zone Names an availability zone.
+	Zone externalRef0.ZoneID `json:"zone"`
+}
+
 // Progress Table jobs, key JOB, and table ended once nothing of the job runs. Written by the holder.
 type Progress struct {
 	// EndedAt A time or duration in milliseconds.
--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -39,6 +39,22 @@
 	TableVersion externalRef0.TableVersion `json:"tableVersion"`
 }
 
+// Relief The holder of the duty asks another instance to take it.
+type Relief struct {
+	// Fence Fencing token of a lease; only rises.
+	Fence externalRef0.LeaseEpoch `json:"fence"`
+
+	// Instance Names an entry instance.
+	Instance    externalRef0.InstanceID `json:"instance"`
+	TraceParent string                  `json:"traceParent"`
+}
+
+// ReliefReply defines model for ReliefReply.
+type ReliefReply struct {
+	// Instance Names an entry instance.
+	Instance externalRef0.InstanceID `json:"instance"`
+}
+
 // WhyQuery defines model for WhyQuery.
 type WhyQuery struct {
 	// JobID Names one gang job.
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -12,6 +12,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
 
@@ -20,6 +21,14 @@
 	mostEntries = 94
 	// mostBytes bounds it too; the store takes 1 MB, which base64 fills by a third.
 	mostBytes = 600_000
+	// renewEvery is the time between two renewals, a fraction of the least takeover time.
+	renewEvery = 800 * clock.Millis(1)
+	// reliefAfter is how long the store may take no record before the holder asks others to
+	// take the duty: far longer than a slow answer, far shorter than the time after which they
+	// take it unasked.
+	reliefAfter = 500 * clock.Millis(1)
+	// reliefEvery is the time between two such questions.
+	reliefEvery = 1000 * clock.Millis(1)
 	// tallyEvery is the least time between two writes of the tally, which may be 2 s old.
 	tallyEvery = 500 * clock.Millis(1)
 )
@@ -157,8 +166,8 @@
 // write records some changes under the fence. The second result is false when the term is
 // over, the first when a conflict kept the changes out.
 func (te *term) write(changes []change, renew bool, tally map[string]int) (done, ok bool) {
-	next := *te.duty.holder
-	tr := rowstore.Transaction{Expect: []rowstore.Expectation{{Key: recorder.DutyKey, Version: te.duty.version}}}
+	next := te.duty.Holder()
+	tr := rowstore.Transaction{Expect: []rowstore.Expectation{{Key: recorder.DutyKey, Version: te.duty.Version()}}}
 	if renew {
 		next.Renewals++
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.DutyKey, Value: recorder.Encode(next)})
@@ -169,9 +178,10 @@
 	for i := range changes {
 		tr.Add(changes[i].tr)
 	}
+	first := te.Clock.Now()
 	for tries := 1; te.ctx.Err() == nil; tries++ {
 		sent := te.Clock.Now()
-		ctx, cancel := te.Clock.Bound(te.ctx, writeTimeout)
+		ctx, cancel := te.Clock.Bound(te.ctx, elector.WriteTimeout)
 		version, err := te.Store.Write(ctx, tr)
 		cancel()
 		te.Meters.Took("record", te.Clock.Now()-sent)
@@ -186,8 +196,9 @@
 		case eris.Is(err, rowstore.ErrNotDone) || eris.Is(err, rowstore.ErrUnknown):
 			te.Meters.Count("records", "delayed")
 			te.log.Warn().Err(err).Int("try", tries).Int("jobs", len(changes)).Msg("recordDelayed")
+			te.seekRelief(first)
 			te.Store.Reset()
-			clock.Sleep(te.ctx, te.Clock, retryPause)
+			clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
 		default:
 			te.log.Error().Err(err).Int("jobs", len(changes)).Msg("recordRefused")
 			te.lose("the store refuses a transaction")
@@ -197,13 +208,25 @@
 	return false, false
 }
 
+// seekRelief asks other instances to take the duty when the store has taken no record from
+// this one for a while: it may serve them.
+func (te *term) seekRelief(since clock.Millis) {
+	now := te.Clock.Now()
+	if now-since < reliefAfter || now-te.sought < reliefEvery {
+		return
+	}
+	te.sought = now
+	te.log.Info().Int64("failingMillis", int64(now-since)).Msg("reliefSought")
+	te.Peers.Relieve(te.ctx, te.duty.Holder().Fence)
+}
+
 // written takes the changes as recorded.
 func (te *term) written(changes []change, version meter.RowVersion, renew bool, next ledger.Holder, tally map[string]int, sent clock.Millis) {
 	te.mu.Lock()
 	defer te.mu.Unlock()
 	te.confirmed = max(te.confirmed, sent)
 	if renew {
-		te.duty.holder, te.duty.version = &next, version
+		te.duty.Renewed(next, version)
 		te.renewed = sent
 	}
 	if tally != nil {
@@ -236,7 +259,7 @@
 		te.written(changes, version, renew, next, tally, sent)
 		return true, true
 	}
-	if duty.Version != te.duty.version {
+	if duty.Version != te.duty.Version() {
 		te.lose("another instance has taken the duty")
 		return false, false
 	}
@@ -253,7 +276,7 @@
 	if renew && !bytes.Equal(co.Row(recorder.DutyKey).Value, recorder.Encode(next)) {
 		return false
 	}
-	if !renew && co.Row(recorder.DutyKey).Version != te.duty.version {
+	if !renew && co.Row(recorder.DutyKey).Version != te.duty.Version() {
 		return false
 	}
 	for i := range changes {
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -13,9 +13,13 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
 
 // policyPause lies between two looks for the first configuration.
@@ -40,6 +44,13 @@
 		Forget(address string)
 	}
 
+	// Peers knows the other instances.
+	Peers interface {
+		elector.Peers
+		// Relieve asks some of them to take the duty with a fence; it does not wait.
+		Relieve(ctx context.Context, fence meter.LeaseEpoch)
+	}
+
 	// Advisers tells which workers may run the steps of some queues.
 	Advisers interface {
 		Advise(ctx context.Context, step string, workers []identifier.Worker) (fleet.Advice, error)
@@ -100,6 +111,7 @@
 	Parts struct {
 		Store   Store
 		Workers Workers
+		Peers   Peers
 		// Advisers and Machines are nil where the platform has no such service.
 		Advisers Advisers
 		Machines Machines
@@ -119,6 +131,8 @@
 		planner *planner.Planner
 		// term is nil while another instance decides.
 		term atomic.Pointer[term]
+		// electing is nil while this instance decides.
+		electing atomic.Pointer[elector.Elector]
 	}
 )
 
@@ -127,6 +141,34 @@
 	return &Conductor{Parts: pa, op: op, planner: planner.New(planner.Completion)}
 }
 
+// Holder reads who holds the duty; an empty instance means nobody. Errors are of the kind
+// StoreUnavailable.
+func (co *Conductor) Holder(ctx context.Context) (ledger.Holder, error) {
+	ctx, cancel := co.Clock.Bound(ctx, elector.WriteTimeout)
+	defer cancel()
+	page, err := co.Store.Read(ctx, recorder.Duty, "", "", 0)
+	if err != nil {
+		return ledger.Holder{}, problem.New(problem.StoreUnavailable, "%v", err)
+	}
+	for _, ro := range page.Rows {
+		if ro.Key == recorder.DutyKey {
+			return recorder.Decode[ledger.Holder](ro)
+		}
+	}
+	return ledger.Holder{}, nil
+}
+
+// Deciding reports whether this instance decides.
+func (co *Conductor) Deciding() bool { return co.term.Load() != nil }
+
+// Relieve has this instance take the duty of a holder that asks for it, unless it decides
+// itself.
+func (co *Conductor) Relieve(fence meter.LeaseEpoch) {
+	if el := co.electing.Load(); el != nil {
+		el.Hint("", fence, "its holder asks for it")
+	}
+}
+
 // Run takes part until ctx ends; then it gives the duty up within the bound of last.
 func (co *Conductor) Run(ctx, last context.Context) {
 	// Without a configuration nobody can tell how often a task may fail.
@@ -136,16 +178,21 @@
 		}
 	}
 	for ctx.Err() == nil {
-		du := newDuty(co.Store, co.Clock, co.Log, co.Meters, co.op)
-		if !du.acquire(ctx) {
+		du := elector.New(co.Store, co.Peers, co.Clock, co.Log, co.Meters, elector.Options{
+			Me:       ledger.Holder{Instance: co.op.Instance, Incarnation: co.op.Incarnation, Address: co.op.Address},
+			Takeover: co.op.Takeover, Yield: co.op.Yield,
+		})
+		co.electing.Store(du)
+		if !du.Acquire(ctx) {
 			return
 		}
+		co.electing.Store(nil)
 		te := newTerm(co, du)
 		co.term.Store(te)
 		te.run(ctx)
 		co.term.Store(nil)
 		if ctx.Err() != nil && !te.lost.Load() {
-			du.release(last)
+			du.Release(last)
 		}
 	}
 }
--- a/wagtailcroftd/conductor/looks.go
+++ b/wagtailcroftd/conductor/looks.go
@@ -31,7 +31,7 @@
 		return
 	}
 	busy := len(wo.runs)+len(wo.strays) > 0
-	or := fleet.HoldOrder{Fence: te.duty.holder.Fence}
+	or := fleet.HoldOrder{Fence: te.duty.Holder().Fence}
 	switch {
 	case (!wo.met || wo.failures > 0) && (wo.reported || busy):
 		// A worker must answer before it gets work, or gets it again.
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -86,7 +86,7 @@
 	}
 	or := fleet.StartOrder{
 		Task: key.String(), Run: pl.run, Payload: te.jobs[key.Job].job.Payload,
-		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.holder.Fence, Saved: ta.Saved, Ticket: permit,
+		LeaseEnd: te.leaseEnd(wo, now), Fence: te.duty.Holder().Fence, Saved: ta.Saved, Ticket: permit,
 	}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
 	pl.ordered, pl.unanswered, pl.resumed = true, true, ta.Saved != ""
@@ -184,7 +184,7 @@
 	if wo.report.Address == "" {
 		return
 	}
-	or := fleet.StopOrder{Task: key.String(), Run: pl.run, Fence: te.duty.holder.Fence}
+	or := fleet.StopOrder{Task: key.String(), Run: pl.run, Fence: te.duty.Holder().Fence}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
 	te.give(true, pl, or.Task, func() { te.stop(wo, pl, to, or) })
 }
--- a/wagtailcroftd/conductor/pace.go
+++ b/wagtailcroftd/conductor/pace.go
@@ -60,7 +60,7 @@
 }
 
 func (te *term) submitPace(wo *worker, key workload.TaskKey, pl *placement, next meter.Percent) {
-	or := fleet.PaceOrder{Task: key.String(), Run: pl.run, Percent: next, Fence: te.duty.holder.Fence}
+	or := fleet.PaceOrder{Task: key.String(), Run: pl.run, Percent: next, Fence: te.duty.Holder().Fence}
 	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
 	pl.pacing = true
 	order := func() {
--- a/wagtailcroftd/conductor/sweep.go
+++ b/wagtailcroftd/conductor/sweep.go
@@ -5,6 +5,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
@@ -45,7 +46,7 @@
 		if len(tr.Remove) == 0 {
 			continue
 		}
-		ctx, cancel := te.Clock.Bound(te.ctx, writeTimeout)
+		ctx, cancel := te.Clock.Bound(te.ctx, elector.WriteTimeout)
 		_, err = te.Store.Write(ctx, tr)
 		cancel()
 		te.log.Info().Int("rows", len(tr.Remove)).AnErr("refusal", err).Msg("rowsSwept")
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -17,6 +17,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/pool"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
@@ -46,7 +47,7 @@
 	// term is the time for which this instance holds the duty. Nothing of it outlives it.
 	term struct {
 		*Conductor
-		duty   *duty
+		duty   *elector.Elector
 		log    zerolog.Logger
 		orders *pool.Pool
 		looks  *pool.Pool
@@ -81,6 +82,8 @@
 		confirmed clock.Millis
 		// renewed is when the last renewal was sent.
 		renewed clock.Millis
+		// sought is when other instances were last asked to take the duty.
+		sought clock.Millis
 		// tally is what the tally row holds; tallied is when it was written.
 		tally   map[string]int
 		tallied clock.Millis
@@ -111,12 +114,12 @@
 	}
 )
 
-func newTerm(co *Conductor, du *duty) *term {
+func newTerm(co *Conductor, du *elector.Elector) *term {
 	now := co.Clock.Now()
 	return &term{
 		Conductor: co,
 		duty:      du,
-		log:       co.Log.With().Int64("fence", int64(du.holder.Fence)).Logger(),
+		log:       co.Log.With().Int64("fence", int64(du.Holder().Fence)).Logger(),
 		orders:    pool.New(orderWorkers, orderQueue),
 		looks:     pool.New(lookWorkers, lookQueue),
 		wake:      make(chan struct{}, 1),
@@ -184,7 +187,7 @@
 		}
 		te.log.Warn().Err(err).Msg("jobsUnread")
 		te.Store.Reset()
-		clock.Sleep(te.ctx, te.Clock, retryPause)
+		clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
 	}
 	return false
 }
--- a/wagtailcroftd/conductor/upkeep.go
+++ b/wagtailcroftd/conductor/upkeep.go
@@ -12,6 +12,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
@@ -203,7 +204,7 @@
 // order begins the upkeep of a machine. A refusal is tried again at the next look.
 func (te *term) order(wa *wave, ma fleet.Machine) error {
 	ctx, cancel := te.Clock.Bound(te.ctx, upkeepTimeout)
-	err := te.Machines.Upkeep(ctx, ma.ID, wa.asked.Number, te.op.Instance, te.duty.holder.Fence)
+	err := te.Machines.Upkeep(ctx, ma.ID, wa.asked.Number, te.op.Instance, te.duty.Holder().Fence)
 	cancel()
 	te.log.Info().Str("machine", string(ma.ID)).Int64("wave", wa.asked.Number).AnErr("refusal", err).Msg("upkeepOrdered")
 	if eris.Is(err, fleet.ErrFenced) {
@@ -231,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := te.Clock.Bound(te.ctx, writeTimeout)
+	ctx, cancel := te.Clock.Bound(te.ctx, elector.WriteTimeout)
 	defer cancel()
 	version, err := te.Store.Write(ctx, rowstore.Transaction{
 		Expect: []rowstore.Expectation{{Key: wa.row.Key, Version: wa.row.Version}},
--- a/wagtailcroftd/conductor/view.go
+++ b/wagtailcroftd/conductor/view.go
@@ -72,7 +72,7 @@
 		return View{}, false
 	}
 	now := te.Clock.Now()
-	vi := View{Fence: te.duty.holder.Fence, Workspaces: slices.Clone(po.Workspaces)}
+	vi := View{Fence: te.duty.Holder().Fence, Workspaces: slices.Clone(po.Workspaces)}
 	for _, wo := range te.workers {
 		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
 	}
--- a/wagtailcroftd/dialer/dialer.go
+++ b/wagtailcroftd/dialer/dialer.go
@@ -28,11 +28,14 @@
 	}
 )
 
-// Serve answers calls of the methods of a service until the listener is closed.
-func Serve(ln net.Listener, name string, service any) error {
+// Serve answers calls of the methods of services, by their names, until the listener is
+// closed.
+func Serve(ln net.Listener, services map[string]any) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(name, service); err != nil {
-		return eris.Wrapf(err, "register the service %s", name)
+	for name, service := range services {
+		if err := server.RegisterName(name, service); err != nil {
+			return eris.Wrapf(err, "register the service %s", name)
+		}
 	}
 	for {
 		conn, err := ln.Accept()
--- a/wagtailcroftd/heartbeater/rpc.go
+++ b/wagtailcroftd/heartbeater/rpc.go
@@ -44,5 +44,5 @@
 // Serve answers other instances on the listener until it is closed. Their number bounds
 // that of the connections.
 func (he *Heartbeater) Serve(ln net.Listener) error {
-	return dialer.Serve(ln, serviceName, he.Service())
+	return dialer.Serve(ln, map[string]any{serviceName: he.Service()})
 }
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -43,6 +43,47 @@
 			}
 		})
 	})
+	t.Run("another takes the duty at once when the holder's process ends", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			sc.kill(sc.holder())
+			jo := sc.accepted(sc.alive(), sc.job(normalPrefix, seconds(1), tasks(1, 1)))
+			sc.becomes(sc.alive(), jo, "running", 500*time.Millisecond)
+		})
+	})
+	t.Run("a connection that breaks is no end of the holder's process", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			former := sc.holder()
+			sc.peers.breakAll()
+			sc.sleep(2 * time.Second)
+			asserter.Equal(t, sc.holder(), former)
+		})
+	})
+	t.Run("a holder that the store turns away is relieved by one that it serves", func(t *testing.T) {
+		play(t, 4, 4, func(sc *scene) {
+			sc.sleep(6 * time.Second) // until the holder has read who is there
+			former := sc.holder()
+			sc.cluster.StoreOutage(sc.instances[former].name, fleet.Reset)
+			at := (former + 1) % 4
+			jo := sc.accepted(at, sc.job(normalPrefix, seconds(1), tasks(1, 1)))
+			sc.becomes(at, jo, "running", 1700*time.Millisecond)
+			sc.cluster.StoreOutage(sc.instances[former].name, fleet.Reachable)
+		})
+	})
+	t.Run("nobody takes the duty while the store serves nobody", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			sc.sleep(6 * time.Second)
+			former := sc.holder()
+			for _, in := range sc.instances {
+				sc.cluster.StoreOutage(in.name, fleet.Reset)
+			}
+			sc.sleep(1500 * time.Millisecond)
+			for _, in := range sc.instances {
+				sc.cluster.StoreOutage(in.name, fleet.Reachable)
+			}
+			sc.sleep(2 * time.Second)
+			asserter.Equal(t, sc.holder(), former)
+		})
+	})
 	t.Run("a process that starts again takes its own duty at once", func(t *testing.T) {
 		play(t, 1, 4, func(sc *scene) {
 			jo := sc.accepted(0, sc.job(normalPrefix, seconds(3), tasks(1, 1)))
--- a/wagtailcroftd/participant/operators_test.go
+++ b/wagtailcroftd/participant/operators_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +29,10 @@
 	pipes struct {
 		conns  chan net.Conn
 		closed chan struct{}
+
+		mu sync.Mutex
+		// open are the ends that were accepted; a process that ends closes them.
+		open []net.Conn
 	}
 )
 
@@ -46,23 +50,39 @@
 	ln := pe.listeners[address]
 	pe.mu.Unlock()
 	if ln == nil {
-		return nil, errors.New("nobody listens there")
+		return nil, syscall.ECONNREFUSED
 	}
 	here, there := net.Pipe()
 	select {
 	case ln.conns <- there:
 		return here, nil
 	case <-ln.closed:
-		return nil, errors.New("nobody listens there any more")
+		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// breakAll closes every connection between instances; all of them go on to listen.
+func (pe *peers) breakAll() {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	for _, ln := range pe.listeners {
+		ln.mu.Lock()
+		for _, conn := range ln.open {
+			_ = conn.Close() // cannot fail
+		}
+		ln.mu.Unlock()
+	}
+}
+
 // Accept waits for a connection.
 func (pi *pipes) Accept() (net.Conn, error) {
 	select {
 	case conn := <-pi.conns:
+		pi.mu.Lock()
+		defer pi.mu.Unlock()
+		pi.open = append(pi.open, conn)
 		return conn, nil
 	case <-pi.closed:
 		return nil, net.ErrClosed
@@ -72,6 +92,11 @@
 // Close ends Accept.
 func (pi *pipes) Close() error {
 	close(pi.closed)
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	for _, conn := range pi.open {
+		_ = conn.Close() // cannot fail
+	}
 	return nil
 }
 
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -24,6 +24,7 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/messenger"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/overseer"
 )
 
@@ -70,6 +71,7 @@
 		conductor *conductor.Conductor
 		overseer  *overseer.Overseer
 		dialer    *dialer.Dialer
+		messenger *messenger.Messenger
 		tracer    *tracer.Tracer
 		// stopping is set once.
 		stopping atomic.Bool
@@ -93,11 +95,16 @@
 	if set.MachinesAddress != "" {
 		parts.Machines = platform.NewMachines(set.MachinesAddress, ou.Transport)
 	}
+	pa.dialer = dialer.New(ou.Clock, peerTimeout, ou.Dial)
+	pa.messenger = messenger.New(messenger.Options{
+		Instance: set.Instance, Zone: set.Zone, Address: set.PeerAddress, Store: store, Caller: pa.dialer, Dial: ou.Dial,
+		Clock: ou.Clock, Tracer: ou.Tracer, Log: ou.Log,
+	})
+	parts.Peers = pa.messenger
 	pa.conductor = conductor.New(parts, conductor.Options{
 		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Address: set.PeerAddress, Lease: set.LeaseMillis, Takeover: set.TakeoverMillis, Yield: set.YieldMillis,
 		StopGrace: set.StopGraceMillis, Settle: set.LeaseOfDutyMillis, Retention: set.RetentionMillis,
 	})
-	pa.dialer = dialer.New(ou.Clock, peerTimeout, ou.Dial)
 	pa.overseer = overseer.New(overseer.Options{
 		Instance: set.Instance, Zone: set.Zone, Decider: pa.conductor, Duty: pa.conductor, Jobs: pa.intake, Policies: pa.follower,
 		Caller: pa.dialer, Tracer: ou.Tracer, Log: ou.Log,
@@ -115,7 +122,9 @@
 
 // ServePeers answers other instances until the listener is closed.
 func (pa *Participant) ServePeers(ln net.Listener) error {
-	return dialer.Serve(ln, overseer.ServiceName, pa.overseer.Service())
+	return dialer.Serve(ln, map[string]any{
+		overseer.ServiceName: pa.overseer.Service(), messenger.ServiceName: pa.messenger.Service(pa.conductor),
+	})
 }
 
 // Readiness is the handler of the platform's question whether new connections are welcome.
@@ -131,6 +140,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { pa.follower.Run(ctx) })
 	parts.Go(func() { pa.conductor.Run(deciding, ctx) })
+	parts.Go(func() { pa.messenger.Run(ctx, pa.conductor.Deciding) })
 	parts.Go(func() { pa.observe(ctx) })
 	select {
 	case <-ctx.Done():
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -19,6 +19,7 @@
 // The tables of step jobs. schema/ledger.yaml describes their rows.
 const (
 	Duty        rowstore.Table = "duty"
+	Members     rowstore.Table = "members"
 	Submissions rowstore.Table = "submissions"
 	Jobs        rowstore.Table = "jobs"
 	Ended       rowstore.Table = "ended"
@@ -32,6 +33,11 @@
 // DutyKey is the row of the holder.
 var DutyKey = rowstore.Key{Table: Duty, Name: "scheduler"}
 
+// MemberKey is the row of an instance.
+func MemberKey(in identifier.Instance) rowstore.Key {
+	return rowstore.Key{Table: Members, Name: string(in)}
+}
+
 // TallyKey is the row of the counts of unstarted jobs.
 var TallyKey = rowstore.Key{Table: Tallies, Name: "pending"}
 
