Show and cancel a job with keys of its own workspace alone

Cause: a key of any workspace could read or cancel a job whose id it knew, and handing in an id of another workspace's job was answered as accepted; the row of a job did not name its workspace. Change: it does; others get 410, and 409 where they hand in a job of an id that is taken. Queues that need no key are left as they were. Test: 'a job is seen and cancelled with keys of its workspace alone' failed first with 200.

--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -79,6 +79,9 @@
 	// Stages Those that differ from an unstarted stage.
 	Stages []Stage       `json:"stages,omitempty"`
 	State  ProgressState `json:"state"`
+
+	// Workspace Whose keys may see the job; empty for a job without one.
+	Workspace externalRef0.WorkspaceID `json:"workspace,omitempty"`
 }
 
 // ProgressState defines model for Progress.State.
--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -102,7 +102,7 @@
 	ch := change{entry: en, tr: rowstore.Transaction{Expect: []rowstore.Expectation{{Key: key, Version: en.version}}}}
 	if jo.State.Final() && jo.Quiet() {
 		ch.ended = true
-		pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Reason: jo.Reason, EndedAt: te.Clock.TimeOfDay()}
+		pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Workspace: jo.Workspace, Reason: jo.Reason, EndedAt: te.Clock.TimeOfDay()}
 		ch.value = recorder.Encode(pr)
 		ch.tr.Puts = []rowstore.Put{{Key: recorder.JobKey(recorder.Ended, jo.ID), Value: ch.value}}
 		ch.tr.Remove = []rowstore.Key{key, recorder.JobKey(recorder.Submissions, jo.ID)}
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -149,7 +149,7 @@
 		Expect: []rowstore.Expectation{{Key: in.policyKey, Version: ac.Version}, {Key: jobs}, {Key: ended}},
 		Puts: []rowstore.Put{
 			{Key: recorder.JobKey(recorder.Submissions, jo.ID), Value: recorder.Encode(recorder.Submission(jo))},
-			{Key: jobs, Value: recorder.Encode(ledger.Progress{State: ledger.ProgressState(workload.Queued.String())})},
+			{Key: jobs, Value: recorder.Encode(ledger.Progress{State: ledger.ProgressState(workload.Queued.String()), Workspace: jo.Workspace})},
 		},
 	}
 	began := in.cl.Now()
@@ -158,9 +158,10 @@
 	in.meters.Count("submits", outcome(err))
 	var conflict *rowstore.ConflictError
 	if eris.As(err, &conflict) {
-		if conflict.Row(jobs).Version > 0 || conflict.Row(ended).Version > 0 {
-			in.log.Info().Str("job", string(jo.ID)).Str("outcome", "known").Msg("jobSubmitted")
-			return nil
+		for _, row := range []rowstore.Row{conflict.Row(jobs), conflict.Row(ended)} {
+			if row.Version > 0 {
+				return in.known(ac, row)
+			}
 		}
 		return in.changed(conflict)
 	}
@@ -169,6 +170,23 @@
 	return err
 }
 
+// known answers for a job that was handed in again. Errors are of the kind KeyReused, if it
+// is that of another workspace.
+func (in *Intake) known(ac policy.Access, row rowstore.Row) error {
+	pr, err := recorder.Decode[ledger.Progress](row)
+	if err == nil && !visible(ac, pr) {
+		err = problem.New(problem.KeyReused, "another workspace has a job of this id")
+	}
+	in.log.Info().Str("job", row.Name).Str("outcome", "known").AnErr("refusal", err).Msg("jobSubmitted")
+	return err
+}
+
+// visible reports whether a call may see a job: those of a workspace are seen with its
+// keys, but for queues that need none.
+func visible(ac policy.Access, pr ledger.Progress) bool {
+	return pr.Workspace == "" || ac.Workspace == pr.Workspace || ac.Queue.Anonymous
+}
+
 // outcome names what became of a write for the metrics.
 func outcome(err error) string {
 	var conflict *rowstore.ConflictError
@@ -193,32 +211,42 @@
 // State tells the state of a job. Errors are of the kinds UnknownJob, which is certain,
 // and StoreUnavailable.
 func (in *Intake) State(ctx context.Context, ac policy.Access, id identifier.Job) (workload.State, error) {
-	state, _, err := in.Find(ctx, id)
+	pr, err := in.find(ctx, id)
+	if err == nil && !visible(ac, pr) {
+		err = problem.New(problem.UnknownJob, "the workspace has no job %s", id)
+	}
 	if problem.KindOf(err) == problem.UnknownJob {
-		in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Msg("jobUnknown")
+		in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Str("workspace", string(ac.Workspace)).Msg("jobUnknown")
+	}
+	if err != nil {
+		return 0, err
 	}
-	return state, err
+	return recorder.State(pr.State)
 }
 
-// Find tells the state of a job of any queue, and why it failed if it did. Errors are those
-// of State.
+// Find tells the state of a job of any workspace, and why it failed if it did. Errors are
+// those of State.
 func (in *Intake) Find(ctx context.Context, id identifier.Job) (workload.State, string, error) {
+	pr, err := in.find(ctx, id)
+	if err != nil {
+		return 0, "", err
+	}
+	state, err := recorder.State(pr.State)
+	return state, pr.Reason, err
+}
+
+// find reads the row of a job, be it running or ended.
+func (in *Intake) find(ctx context.Context, id identifier.Job) (ledger.Progress, error) {
 	for _, table := range []rowstore.Table{recorder.Jobs, recorder.Ended} {
 		row, err := in.read(ctx, recorder.JobKey(table, id))
 		if err != nil {
-			return 0, "", err
-		}
-		if row.Version == 0 {
-			continue
+			return ledger.Progress{}, err
 		}
-		pr, err := recorder.Decode[ledger.Progress](row)
-		if err != nil {
-			return 0, "", err
+		if row.Version > 0 {
+			return recorder.Decode[ledger.Progress](row)
 		}
-		state, err := recorder.State(pr.State)
-		return state, pr.Reason, err
 	}
-	return 0, "", problem.New(problem.UnknownJob, "the store holds no job %s", id)
+	return ledger.Progress{}, problem.New(problem.UnknownJob, "the store holds no job %s", id)
 }
 
 // Cancel records that a caller withdraws a job. A job that has ended stays as it is.
@@ -231,6 +259,13 @@
 		_, err := in.State(ctx, ac, id)
 		return err
 	}
+	pr, err := recorder.Decode[ledger.Progress](row)
+	if err != nil {
+		return err
+	}
+	if !visible(ac, pr) {
+		return problem.New(problem.UnknownJob, "the workspace has no job %s", id)
+	}
 	err = in.write(ctx, rowstore.Transaction{
 		Expect: []rowstore.Expectation{{Key: in.policyKey, Version: ac.Version}},
 		Puts:   []rowstore.Put{{Key: recorder.JobKey(recorder.Cancels, id), Value: recorder.Encode(ledger.Cancellation{At: in.cl.TimeOfDay()})}},
--- a/wagtailcroftd/participant/calm_test.go
+++ b/wagtailcroftd/participant/calm_test.go
@@ -127,6 +127,22 @@
 			asserter.Equal(t, sc.submit(0, jo), http.StatusNotFound)
 		})
 	})
+	t.Run("a job is seen and cancelled with keys of its workspace alone", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			jo := sc.accepted(0, sc.job(normalPrefix, seconds(5), tasks(1, 1)))
+			other := jo
+			other.Key = bobKey
+			status, _ := sc.state(1, other)
+			asserter.Equal(t, status, http.StatusGone)
+			status, _, _ = sc.call(1, http.MethodDelete, other.Queue+other.ID, bobKey, struct{}{})
+			asserter.Equal(t, status, http.StatusGone)
+			asserter.Equal(t, sc.submit(2, other), http.StatusConflict)
+			sc.becomes(0, jo, "completed", 7*time.Second)
+			sc.sleep(time.Second)
+			status, _ = sc.state(1, other)
+			asserter.Equal(t, status, http.StatusGone)
+		})
+	})
 	t.Run("a bad job is refused and not stored", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			later := tasks(1, 1)
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -102,7 +102,7 @@
 
 // Progress describes how far a job is. Tasks that were never started take no space.
 func Progress(jo *workload.Job, endedAt clock.Millis) ledger.Progress {
-	pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Reason: jo.Reason, EndedAt: endedAt}
+	pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Workspace: jo.Workspace, Reason: jo.Reason, EndedAt: endedAt}
 	pr.Occurrences = len(jo.Stages) / len(jo.Steps)
 	for at, sg := range jo.Stages {
 		if out := encodeStage(sg); out != nil {
