Show step jobs in the demo, on a stand-in of the users' platform that serves loopback

Change: the stand-in listens on loopback for its store, services and each runner; the demo starts three instances against it with the production clients, hands in both deployments' step jobs, ends the holder, and waits until every job is shown as completed. It fails on any broken rule.

--- a/demo/cmd_run.go
+++ b/demo/cmd_run.go
@@ -12,6 +12,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/demo/launcher"
 	"github.com/wagtailcroft/wagtailcroft/demo/player"
+	"github.com/wagtailcroft/wagtailcroft/demo/stager"
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -29,7 +30,7 @@
 
 var cmdRun = commander.Command{
 	Name: "run",
-	Help: "Launch two zones of each deployment, play its work and print what happened.",
+	Help: "Play the work of each deployment, on two zones and as step jobs, and print what happened.",
 	Bind: func(cl *kingpin.CmdClause) func() error {
 		seed := cl.Flag("seed", "Seed of the random choices.").Default("1").Uint64()
 		verbose := cl.Flag("verbose", "Show the log of the entry instances.").Bool()
@@ -49,7 +50,26 @@
 		return err
 	}
 	derwent := launcher.Options{Deployment: platform.Derwent(), Preset: settings.SchedulingPresetFragmentation, Seed: seed, Log: log}
-	return playOne(ctx, derwent, player.Derwent)
+	if err := playOne(ctx, derwent, player.Derwent); err != nil {
+		return err
+	}
+	for _, play := range []stager.Play{stager.Thengola(), stager.Derwent()} {
+		if err := stage(ctx, play, log); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stage plays step jobs on the stand-in of the users' platform.
+func stage(ctx context.Context, play stager.Play, log io.Writer) error {
+	lines, err := play.Play(ctx, log)
+	shown := make([]player.Line, 0, len(lines))
+	for _, li := range lines {
+		shown = append(shown, player.Line{What: li.What, Asked: li.Asked, Whole: li.Done, Detail: li.Detail})
+	}
+	printLines(play.Name, shown)
+	return err
 }
 
 func playOne(ctx context.Context, op launcher.Options, script func([]identifier.Zone) player.Play) error {
--- /dev/null
+++ b/demo/stager/plays.go
@@ -0,0 +1,41 @@
+package stager
+
+import (
+	"time"
+
+	"github.com/wagtailcroft/wagtailcroft/platform/wire"
+)
+
+// Thengola is urgent sign-ups, practice sets of whole racks, and wide certificate packs.
+func Thengola() Play {
+	return Play{Name: "Thengola, step jobs", Jobs: []Job{
+		{Queue: "sign-ups", Count: 12, Steps: []wire.StepBody{gang(2, 4)}, Time: 300 * time.Millisecond},
+		{Queue: "practice-sets", Count: 6, Steps: []wire.StepBody{gang(5, 8)}, Time: 1200 * time.Millisecond},
+		{Queue: "certificate-packs", Count: 4, Steps: []wire.StepBody{tasks(16, 1), after(tasks(4, 1))}, Time: 800 * time.Millisecond},
+	}}
+}
+
+// Derwent is urgent proofs, re-renders of whole racks, and wide archive batches.
+func Derwent() Play {
+	return Play{Name: "Derwent, step jobs", Jobs: []Job{
+		{Queue: "proofs", Count: 16, Steps: []wire.StepBody{gang(3, 2)}, Time: 250 * time.Millisecond},
+		{Queue: "re-renders", Count: 5, Steps: []wire.StepBody{gang(6, 8)}, Time: 1500 * time.Millisecond},
+		{Queue: "archive-batches", Count: 4, Steps: []wire.StepBody{tasks(12, 1)}, Time: 1000 * time.Millisecond},
+	}}
+}
+
+func tasks(count int, accelerators int32) wire.StepBody {
+	return wire.StepBody{Count: count, CPU: 4000, MemMb: 4000, Gpu: accelerators, EstimateMs: 1000}
+}
+
+func gang(count int, accelerators int32) wire.StepBody {
+	st := tasks(count, accelerators)
+	st.Gang, st.SameRack = true, true
+	return st
+}
+
+// after has a step wait for the first.
+func after(st wire.StepBody) wire.StepBody {
+	st.DependsOn = []int{0}
+	return st
+}
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -29,6 +29,8 @@
 		MaxLease time.Duration
 		// Drain is how long a draining runner goes on.
 		Drain time.Duration
+		// Addresses holds the address of each runner; names stand for those that it lacks.
+		Addresses []string
 		// GangTimeout is how long a member waits for the others.
 		GangTimeout time.Duration
 	}
@@ -86,6 +88,9 @@
 			cluster: cl, id: fmt.Sprintf("w-%02d", i), address: fmt.Sprintf("runner-%02d:1", i),
 			zone: fmt.Sprintf("z%d", i%2), rack: fmt.Sprintf("r-%d", i/max(op.PerRack, 1)), room: op.Room, guarded: op.Guarded,
 		}
+		if i < len(op.Addresses) {
+			ru.address = op.Addresses[i]
+		}
 		cl.runners = append(cl.runners, ru)
 		cl.mu.Lock()
 		ru.start()
