Keep the advice on steps in a decision package of its own

Change: decisions/adviser holds it, without clock, network or lock, with tests of its own; the conductor asks and tells.

--- a/wagtailcroftd/conductor/commit.go
+++ b/wagtailcroftd/conductor/commit.go
@@ -321,9 +321,5 @@
 func (te *term) forget(id identifier.Job) {
 	delete(te.jobs, id)
 	delete(te.failures, id)
-	for key := range te.advices {
-		if key.job == id {
-			delete(te.advices, key)
-		}
-	}
+	te.advices.Forget(id)
 }
--- a/wagtailcroftd/conductor/orders.go
+++ b/wagtailcroftd/conductor/orders.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -104,10 +105,15 @@
 	if qu := po.Queue(te.jobs[key.Job].job.Queue); qu == nil || !qu.Advised {
 		return "", true
 	}
-	text := te.ticket(stageKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}, wo, now)
+	text := te.advices.Ticket(adviseKey(key), wo.id, wo.report.Life, now)
 	return text, text != ""
 }
 
+// adviseKey names the step of a task.
+func adviseKey(key workload.TaskKey) adviser.Key {
+	return adviser.Key{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}
+}
+
 // leaseEnd is the end of a full lease from now on, on the worker's clock. A worker that
 // does not answer gets no longer lease, so that the last one lapses in a known time.
 func (te *term) leaseEnd(wo *worker, now clock.Millis) clock.Millis {
@@ -148,7 +154,7 @@
 	case eris.Is(err, fleet.ErrLate):
 		// the next try carries a later lease
 	case pl.tries == 1 && eris.Is(err, fleet.ErrNoTicket):
-		delete(te.advices, stageKey{job: key.Job, occurrence: key.Occurrence, step: key.Step})
+		te.advices.Drop(adviseKey(key))
 		te.endRun(wo, key, workload.RunEnd{Run: pl.run, How: workload.EndStopped})
 	case pl.tries == 1 && (eris.Is(err, fleet.ErrNoRoom) || eris.Is(err, fleet.ErrUnhealthy) || eris.Is(err, fleet.ErrRejected)):
 		te.block(wo, err)
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/learner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -68,8 +69,8 @@
 		jobs map[identifier.Job]*entry
 		// workers holds every worker that reports, or that has runs.
 		workers map[identifier.Worker]*worker
-		// advices holds what the advice service has said, by step.
-		advices map[stageKey]*advice
+		// advices keeps what the advice service has said.
+		advices *adviser.Adviser
 		// learner knows how long tasks lately ran.
 		learner *learner.Learner
 		// early holds the cancellations of jobs that are not known, with when they came.
@@ -128,7 +129,7 @@
 		mu:        locker.New(locker.RankZone),
 		jobs:      map[identifier.Job]*entry{},
 		workers:   map[identifier.Worker]*worker{},
-		advices:   map[stageKey]*advice{},
+		advices:   adviser.New(),
 		learner:   learner.New(),
 		early:     map[identifier.Job]clock.Millis{},
 		failures:  map[identifier.Job]map[identifier.Worker]bool{},
--- a/wagtailcroftd/conductor/view.go
+++ b/wagtailcroftd/conductor/view.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -161,20 +162,12 @@
 		return fmt.Sprintf("%s waits for steps %v", name, step.After)
 	case waiting == 0:
 		return fmt.Sprintf("%s: %d tasks run, %d are done", name, held, done)
-	case qu.Advised && te.Advisers != nil && len(te.tickets(jo, st)) == 0:
+	case qu.Advised && te.Advisers != nil && te.advices.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks wait for the advice service to approve workers", name, waiting)
 	}
 	return fmt.Sprintf("%s: %d tasks run, %d are done, %d wait for %s", name, held, done, waiting, room(step, pool))
 }
 
-// tickets lists the workers that the advice service has approved for a stage.
-func (te *term) tickets(jo *workload.Job, st *workload.Stage) map[identifier.Worker]ticket {
-	if ad := te.advices[keyOf(jo, st)]; ad != nil {
-		return ad.tickets
-	}
-	return nil
-}
-
 // room says how much room a step wants and a pool has.
 func room(step *workload.Step, pool []WorkerView) string {
 	var free, most meter.Accelerators
