Split the waves of upkeep from the conductor

Change: package maintainer carries out waves through three small interfaces; the conductor empties workers for it. Behaviour is meant to be the same.

--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -19,6 +19,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/maintainer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
 
@@ -56,12 +57,6 @@
 		Advise(ctx context.Context, step string, workers []identifier.Worker) (fleet.Advice, error)
 	}
 
-	// Machines lists machines and has their upkeep begun.
-	Machines interface {
-		List(ctx context.Context) ([]fleet.Machine, error)
-		Upkeep(ctx context.Context, machine identifier.Machine, wave int64, holder identifier.Instance, fence meter.LeaseEpoch) error
-	}
-
 	// Policies gives the newest known configuration, or nil before there is one.
 	Policies interface {
 		Current() *policy.Policy
@@ -114,7 +109,7 @@
 		Peers   Peers
 		// Advisers and Machines are nil where the platform has no such service.
 		Advisers Advisers
-		Machines Machines
+		Machines maintainer.Machines
 		// WaveStatus encodes the row that tells operators how far a wave is.
 		WaveStatus func(number int64, completed bool) (rowstore.Put, error)
 		Policies   Policies
--- a/wagtailcroftd/events_test.go
+++ b/wagtailcroftd/events_test.go
@@ -18,7 +18,7 @@
 const page = "../docs/OPERATIONS.md"
 
 // packages are those of which an instance of schedule is made.
-var packages = []string{"conductor", "elector", "messenger", "follower", "tailer", "intake", "participant", "overseer", "replier", "cmd_schedule.go"}
+var packages = []string{"conductor", "elector", "maintainer", "messenger", "follower", "tailer", "intake", "participant", "overseer", "replier", "cmd_schedule.go"}
 
 // events maps each event that the code logs to the names of its fields.
 func events(t *testing.T) map[string][]string {
