--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: help build demo test lint generate check-generated bench days fuzz soak faults slopes lines
+.PHONY: help build demo test lint generate check-generated bench days journal-page fuzz soak faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -30,6 +30,9 @@
 days: build ## play simulated days of step jobs with every policy and write docs/MEASUREMENTS.md
 	$(BIN)/bench days --commit $$(git rev-parse --short HEAD)
 
+journal-page: build ## write docs/JOURNAL.md from the journal of the users' bench
+	$(BIN)/bench journal
+
 faults: build ## eight real processes under load and faults, two minutes
 	BIN=$(BIN) scripts/faults.sh
 
--- a/bench/cmd_days.go
+++ b/bench/cmd_days.go
@@ -54,8 +54,9 @@
 }
 
 func compareDays(fl *dayFlags) error {
-	var rows []reporter.DayRow
-	for _, lo := range []simulator.Load{simulator.Thengola(), simulator.Derwent()} {
+	loads := []simulator.Load{simulator.Thengola(), simulator.Derwent()}
+	rows := make([]reporter.DayRow, 0, len(loads)*(len(rivals())+1))
+	for _, lo := range loads {
 		for _, ri := range rivals() {
 			rows = append(rows, reporter.DayRow{Load: lo.Name, Policy: ri.name, Results: playDays(lo, ri.policy, fl.seeds)})
 		}
--- a/bench/main.go
+++ b/bench/main.go
@@ -10,7 +10,7 @@
 
 const help = "Measures the decisions of the product beside simple policies."
 
-var commands = []commander.Command{cmdRun, cmdDays}
+var commands = []commander.Command{cmdRun, cmdDays, cmdJournal}
 
 func main() {
 	if err := commander.Run("bench", help, commands, os.Args[1:]); err != nil {
--- /dev/null
+++ b/bench/reporter/journal.go
@@ -0,0 +1,136 @@
+package reporter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/wagtailcroft/wagtailcroft/bench/archivist"
+	"github.com/wagtailcroft/wagtailcroft/shared/pager"
+)
+
+// JournalPart is the part of the page that the tables of the journal stand in.
+var JournalPart = pager.Part{Begin: "<!-- tables: make journal-page -->", End: "<!-- end of journal -->"}
+
+const (
+	score = "score"
+	hunt  = "hunt"
+	// commitDigits is how much of a commit's name is shown.
+	commitDigits = 7
+	// whyDigits bounds the reason that is shown of a play.
+	whyDigits = 90
+)
+
+// Journal writes the scores, the hunts and the broken rules in Markdown.
+func Journal(entries []archivist.Entry) string {
+	var out strings.Builder
+	scores(&out, entries)
+	hunts(&out, entries)
+	return out.String()
+}
+
+func scores(out *strings.Builder, entries []archivist.Entry) {
+	for _, site := range sites(entries, score) {
+		fmt.Fprintf(out, "\n## Scores on %s\n\n| at | commit | score | worst day, worth | mean worth | waste | broken | why |\n| --- | --- | ---: | ---: | ---: | ---: | ---: | --- |\n", site)
+		for _, en := range entries {
+			if en.Command != score || en.Site != site || len(en.Days) == 0 {
+				continue
+			}
+			worst, mean, waste := 1.0, 0.0, 0.0
+			for _, da := range en.Days {
+				worst = min(worst, da.Worth)
+				mean += da.Worth / float64(len(en.Days))
+				waste += da.Waste / float64(len(en.Days))
+			}
+			fmt.Fprintf(out, "| %s | %s | %.3f | %.3f | %.3f | %.3f | %d | %s |\n", en.At(), commitOf(en), en.Score, worst, mean, waste, en.Broken(), short(en.Why))
+		}
+	}
+}
+
+func hunts(out *strings.Builder, entries []archivist.Entry) {
+	out.WriteString("\n## Hunts\n\n| site | hunts | days | days with a broken rule | rules that were broken |\n| --- | ---: | ---: | ---: | --- |\n")
+	for _, site := range sites(entries, hunt) {
+		calls, days, broken := 0, 0, 0
+		rules := map[string]int{}
+		for _, en := range entries {
+			if en.Command != hunt || en.Site != site {
+				continue
+			}
+			calls++
+			days += len(en.Days)
+			broken += en.Broken()
+			for _, da := range en.Days {
+				for rule := range da.Broken {
+					rules[rule]++
+				}
+			}
+		}
+		names := make([]string, 0, len(rules))
+		for _, rule := range slices.Sorted(maps.Keys(rules)) {
+			names = append(names, fmt.Sprintf("%s on %d days", rule, rules[rule]))
+		}
+		fmt.Fprintf(out, "| %s | %d | %d | %d | %s |\n", site, calls, days, broken, strings.Join(names, ", "))
+	}
+}
+
+func commitOf(en archivist.Entry) string {
+	name := en.Commit[:min(len(en.Commit), commitDigits)]
+	if en.Dirty {
+		return name + " and changes"
+	}
+	return name
+}
+
+func short(why string) string {
+	why = strings.ReplaceAll(why, "|", "/")
+	if len(why) > whyDigits {
+		return why[:whyDigits] + "..."
+	}
+	return why
+}
+
+// sites lists the sites that a verb was called on.
+func sites(entries []archivist.Entry, command string) []string {
+	var names []string
+	for _, en := range entries {
+		if en.Command == command && en.Site != "" && !slices.Contains(names, en.Site) {
+			names = append(names, en.Site)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// PlotWorth draws the mean worth of each score, a line for each site.
+func PlotWorth(entries []archivist.Entry, path string) error {
+	pl := plot.New()
+	pl.Title.Text = "Mean worth of the days of a score"
+	pl.X.Label.Text = "score, in order of time"
+	pl.Y.Label.Text = "worth"
+	played := sites(entries, score)
+	lines := make([]any, 0, 2*len(played))
+	for _, site := range played {
+		var points plotter.XYs
+		for _, en := range entries {
+			if en.Command != score || en.Site != site || len(en.Days) == 0 {
+				continue
+			}
+			mean := 0.0
+			for _, da := range en.Days {
+				mean += da.Worth / float64(len(en.Days))
+			}
+			points = append(points, plotter.XY{X: float64(len(points) + 1), Y: mean})
+		}
+		lines = append(lines, site, points)
+	}
+	if err := plotutil.AddLinePoints(pl, lines...); err != nil {
+		return err
+	}
+	return pl.Save(plotWidth*vg.Inch, plotHeight*vg.Inch, path)
+}
--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -1,9 +1,9 @@
 package simulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/learner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
@@ -42,7 +42,6 @@
 		now     clock.Millis
 		learner *learner.Learner
 		events  events
-		seq     int
 
 		arrivals []*arrival
 		byID     map[identifier.Job]*arrival
@@ -66,29 +65,29 @@
 	}
 
 	event struct {
-		at  clock.Millis
-		seq int
-		do  func()
+		at clock.Millis
+		do func()
 	}
 
 	events []event
 )
 
-func (ev events) Len() int { return len(ev) }
-func (ev events) Less(i, j int) bool {
-	return ev[i].at < ev[j].at || ev[i].at == ev[j].at && ev[i].seq < ev[j].seq
+// add puts an event into the order of time, behind those of the same time.
+func (ev *events) add(at clock.Millis, do func()) {
+	place, _ := slices.BinarySearchFunc(*ev, at, func(e event, at clock.Millis) int {
+		if e.at <= at {
+			return -1
+		}
+		return 1
+	})
+	*ev = slices.Insert(*ev, place, event{at: at, do: do})
 }
-func (ev events) Swap(i, j int) { ev[i], ev[j] = ev[j], ev[i] }
 
-// Push adds an event; it is called by container/heap.
-func (ev *events) Push(x any) { *ev = append(*ev, x.(event)) }
-
-// Pop removes the last event; it is called by container/heap.
-func (ev *events) Pop() any {
-	old := *ev
-	last := old[len(old)-1]
-	*ev = old[:len(old)-1]
-	return last
+// next removes the first event.
+func (ev *events) next() event {
+	first := (*ev)[0]
+	*ev = (*ev)[1:]
+	return first
 }
 
 // Run plays a day with a policy. The same seed draws the same jobs for every policy.
@@ -107,8 +106,8 @@
 		}
 	}
 	end := lo.Length + lo.Finish
-	for da.events.Len() > 0 && da.events[0].at <= end {
-		ev := heap.Pop(&da.events).(event)
+	for len(da.events) > 0 && da.events[0].at <= end {
+		ev := da.events.next()
 		da.now = ev.at
 		ev.do()
 	}
@@ -139,10 +138,7 @@
 	da.input.Waited = func(id identifier.Job) clock.Millis { return da.now - da.byID[id].at }
 }
 
-func (da *day) after(at clock.Millis, do func()) {
-	da.seq++
-	heap.Push(&da.events, event{at: at, seq: da.seq, do: do})
-}
+func (da *day) after(at clock.Millis, do func()) { da.events.add(at, do) }
 
 func (da *day) arrive(ar *arrival) {
 	da.input.Jobs = append(da.input.Jobs, ar.job)
@@ -303,11 +299,12 @@
 		lost = min(ran, checkpointEvery+restoreTime)
 	}
 	delete(da.runs, key)
-	if how == workload.EndDone {
+	switch how {
+	case workload.EndDone:
 		if ta.Saved == "" {
 			da.learner.Ran(ar.job.Queue, step.Estimate, ran)
 		}
-	} else if how == workload.EndStopped {
+	case workload.EndStopped:
 		da.result.Waste += cores(step.Need) * seconds(lost)
 	}
 	ar.job.End(key, en, ar.kind.Attempts)
