Doubt a holder that is silent, prefer strong instances, and hand the duty over to them

Change: a standby that misses a renewal asks the holder over net/rpc whether it works, on a new connection; one that neither renews nor answers is not waited for. Members tell how long they yield; relief is sought from the strongest; a weak holder offers the duty to a stronger instance every 4 s while the store serves it. Ruled out: pings all the time (100 calls a second at the holder with 36 standbys). Tests: 'a holder that neither renews nor answers', 'a holder that answers is waited for', 'an instance of little processor hands the duty over'.

--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -63,6 +63,9 @@
 	// Address Where the instance answers others over net/rpc.
 	Address string `json:"address"`
 
+	// Yield How long it lets others decide first; more where it has less processor.
+	Yield externalRef0.Millis `json:"yield,omitempty"`
+
 	// Zone Names an availability zone.
 	Zone externalRef0.ZoneID `json:"zone"`
 }
--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -39,6 +39,12 @@
 	TableVersion externalRef0.TableVersion `json:"tableVersion"`
 }
 
+// Ping Asks whether the process works.
+type Ping struct {
+	// Instance Names an entry instance.
+	Instance externalRef0.InstanceID `json:"instance"`
+}
+
 // Relief The holder of the duty asks another instance to take it.
 type Relief struct {
 	// Fence Fencing token of a lease; only rises.
--- a/wagtailcroftd/conductor/conductor.go
+++ b/wagtailcroftd/conductor/conductor.go
@@ -50,6 +50,8 @@
 		elector.Peers
 		// Relieve asks some of them to take the duty with a fence; it does not wait.
 		Relieve(ctx context.Context, fence meter.LeaseEpoch)
+		// HandOver asks one that has more processor, if there is one; it does not wait.
+		HandOver(ctx context.Context, fence meter.LeaseEpoch)
 	}
 
 	// Advisers tells which workers may run the steps of some queues.
--- a/wagtailcroftd/conductor/term.go
+++ b/wagtailcroftd/conductor/term.go
@@ -39,6 +39,9 @@
 	// fall silent for good; with the slack of the tailer that is noticed within the 2 s in
 	// which a leaving worker must get no more work.
 	changesWait = 1000 * clock.Millis(1)
+	// handOverEvery is the time between two offers of the duty to a stronger instance: long
+	// enough for an instance that has just come back to follow the store.
+	handOverEvery = 4000 * clock.Millis(1)
 	// reportGap lets the reports of workers gather, within the time in which a leaving
 	// worker must get no more work.
 	reportGap = 150 * clock.Millis(1)
@@ -152,6 +155,7 @@
 	te.tail(&tails, te.Reports.Table, reportGap, reportReader{te})
 	tails.Go(te.sweep)
 	tails.Go(te.dispatches)
+	tails.Go(te.handOver)
 	if te.Machines != nil {
 		tails.Go(te.upkeep)
 	}
@@ -165,6 +169,19 @@
 	tails.Go(func() { ta.Run(te.ctx, re) })
 }
 
+// handOver offers the duty to an instance with more processor, while the store serves this
+// one: a weak instance takes the duty when the others are cut off or have died.
+func (te *term) handOver() {
+	for clock.Sleep(te.ctx, te.Clock, handOverEvery) {
+		te.mu.Lock()
+		calm := te.Clock.Now()-te.confirmed < handOverEvery/2
+		te.mu.Unlock()
+		if calm {
+			te.Peers.HandOver(te.ctx, te.duty.Holder().Fence)
+		}
+	}
+}
+
 // end waits for the calls under way; they end with the term's context.
 func (te *term) end() {
 	te.cancel()
--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -26,6 +26,9 @@
 	RetryPause = 150 * clock.Millis(1)
 	// hintLasts is how long the word of another instance holds: its holder may recover.
 	hintLasts = 1000 * clock.Millis(1)
+	// doubtAfter is how long the row must have stayed as it is before a standby asks the
+	// holder whether it works: one renewal, and the way of the next.
+	doubtAfter = 950 * clock.Millis(1)
 	// hintYieldParts divides the yield where the holder is known to have gone: what is left
 	// differs by more than the way to the store between instances of unlike processors.
 	hintYieldParts = 4
@@ -47,6 +50,8 @@
 		// Ended waits until the process at an address has certainly ended; false means that
 		// ctx has.
 		Ended(ctx context.Context, address string) bool
+		// Answers reports whether the process at an address works; it asks for a short time.
+		Answers(ctx context.Context, address string) bool
 	}
 
 	// Meters counts events.
@@ -78,6 +83,8 @@
 		// unchanged is since when successful calls have shown the same row; 0 means that
 		// the last call failed.
 		unchanged clock.Millis
+		// asked is the version of the row for which the holder was asked whether it works.
+		asked meter.RowVersion
 		// watched is the incarnation of the holder whose process is watched; unwatch ends
 		// that.
 		watched string
@@ -99,8 +106,10 @@
 	hint struct {
 		incarnation string
 		fence       meter.LeaseEpoch
-		why         string
-		at          clock.Millis
+		// version is that of the row for which alone the hint holds; 0 stands for any.
+		version meter.RowVersion
+		why     string
+		at      clock.Millis
 	}
 )
 
@@ -142,7 +151,7 @@
 	if hi.incarnation == "" {
 		return hi, el.cl.Now()-hi.at <= hintLasts
 	}
-	return hi, hi.incarnation == el.holder.Incarnation
+	return hi, hi.incarnation == el.holder.Incarnation && (hi.version == 0 || hi.version == el.version)
 }
 
 // dropWord forgets what another instance has said: the store does not serve this one
@@ -189,6 +198,7 @@
 			clock.Sleep(ctx, el.cl, RetryPause)
 			continue
 		}
+		el.doubt(ctx)
 		why := el.free()
 		if why != "" && el.take(ctx, why) {
 			return true
@@ -197,6 +207,26 @@
 	return false
 }
 
+// doubt asks the holder whether it works once a renewal is missing. One that neither renews
+// nor answers has died without a sign, stands still, or is cut off.
+func (el *Elector) doubt(ctx context.Context) {
+	now := el.cl.Now()
+	if el.holder == nil || el.holder.Instance == "" || el.holder.Instance == el.Me.Instance || el.holder.Address == "" ||
+		el.unchanged == 0 || now-el.unchanged < doubtAfter || el.asked == el.version {
+		return
+	}
+	el.asked = el.version
+	if _, hinted := el.hinted(); hinted || el.peers.Answers(ctx, el.holder.Address) || ctx.Err() != nil {
+		return
+	}
+	el.log.Info().Str("holder", string(el.holder.Instance)).Int64("unchangedMillis", int64(el.cl.Now()-el.unchanged)).Msg("holderDoubted")
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.hint = hint{
+		incarnation: el.holder.Incarnation, fence: el.holder.Fence, version: el.version, why: "it neither renews nor answers", at: el.cl.Now(),
+	}
+}
+
 // look learns the row, or that it has not changed.
 func (el *Elector) look(ctx context.Context) error {
 	if el.after == 0 {
@@ -238,6 +268,9 @@
 	now, wait := el.cl.Now(), watchWait
 	if el.unchanged > 0 {
 		wait = min(wait, el.unchanged+el.patience()-now)
+		if el.asked != el.version {
+			wait = min(wait, el.unchanged+doubtAfter-now)
+		}
 	}
 	if hi, hinted := el.hinted(); hinted {
 		wait = min(wait, hi.at+el.hintYield()-now)
@@ -289,6 +322,15 @@
 	return "not renewed"
 }
 
+// age is for how long the row is known to have stayed as it is; 0 where the store did not
+// answer last.
+func (el *Elector) age() clock.Millis {
+	if el.unchanged == 0 {
+		return 0
+	}
+	return el.cl.Now() - el.unchanged
+}
+
 // gone tells why the holder is taken to have gone, once this instance has let others go
 // first; an empty text means that it is not.
 func (el *Elector) gone() string {
@@ -329,7 +371,7 @@
 	}
 	el.meters.Count("takeovers", why)
 	el.log.Info().Str("why", why).Str("former", string(former)).Int64("fence", int64(next.Fence)).
-		Int64("unchangedMillis", int64(el.cl.Now()-el.unchanged)).Msg("dutyTaken")
+		Int64("unchangedMillis", int64(el.age())).Msg("dutyTaken")
 	el.set(&next, version)
 	return true
 }
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -5,9 +5,12 @@
 package messenger
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -28,6 +31,7 @@
 	// ServiceName is that of the service which answers other instances.
 	ServiceName   = "Messenger"
 	methodRelieve = ServiceName + ".Relieve"
+	methodPing    = ServiceName + ".Ping"
 
 	// storeTimeout bounds a call to the store, which answers within 10 ms as a rule.
 	storeTimeout = 900 * clock.Millis(1)
@@ -38,6 +42,9 @@
 	listEvery = 5 * clock.Second
 	// dialTimeout bounds the opening of a connection to another instance.
 	dialTimeout = 800 * clock.Millis(1)
+	// pingTimeout bounds the question whether a process works: two ways of at most 8 ms, and
+	// what a busy instance of little processor needs.
+	pingTimeout = 300 * clock.Millis(1)
 	// dialPause lies between two tries to reach a holder that does not answer.
 	dialPause = 500 * clock.Millis(1)
 	// mostAsked is how many instances are asked at once to take the duty: some may be cut off
@@ -68,20 +75,22 @@
 		Zone     identifier.Zone
 		// Address is where this instance answers others; empty means that it does not.
 		Address string
-		Store   Store
-		Caller  Caller
-		Dial    dialer.Dial
-		Clock   clock.Clock
-		Tracer  *tracer.Tracer
-		Log     zerolog.Logger
+		// Yield is how long this instance lets others decide first.
+		Yield  clock.Millis
+		Store  Store
+		Caller Caller
+		Dial   dialer.Dial
+		Clock  clock.Clock
+		Tracer *tracer.Tracer
+		Log    zerolog.Logger
 	}
 
 	// Messenger knows the other instances.
 	Messenger struct {
 		Options
 		mu locker.Mutex
-		// members holds the addresses of the others, guarded by mu.
-		members map[identifier.Instance]string
+		// members holds the others, guarded by mu.
+		members map[identifier.Instance]ledger.Member
 	}
 
 	// Service answers other instances.
@@ -93,7 +102,7 @@
 
 // New returns a messenger that knows nobody until Run.
 func New(op Options) *Messenger {
-	return &Messenger{Options: op, mu: locker.New(locker.RankStore), members: map[identifier.Instance]string{}}
+	return &Messenger{Options: op, mu: locker.New(locker.RankStore), members: map[identifier.Instance]ledger.Member{}}
 }
 
 // Service returns what answers other instances; the candidate takes the duty.
@@ -119,7 +128,7 @@
 func (me *Messenger) enter(ctx context.Context) error {
 	ctx, cancel := me.Clock.Bound(ctx, storeTimeout)
 	defer cancel()
-	value := recorder.Encode(ledger.Member{Address: me.Address, Zone: me.Zone})
+	value := recorder.Encode(ledger.Member{Address: me.Address, Zone: me.Zone, Yield: me.Yield})
 	_, err := me.Store.Write(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: recorder.MemberKey(me.Instance), Value: value}}})
 	me.Log.Info().Str("address", me.Address).AnErr("refusal", err).Msg("memberEntered")
 	return err
@@ -134,7 +143,7 @@
 		me.Log.Debug().Err(err).Msg("membersUnread")
 		return
 	}
-	members := make(map[identifier.Instance]string, len(page.Rows))
+	members := make(map[identifier.Instance]ledger.Member, len(page.Rows))
 	for _, ro := range page.Rows {
 		row, err := recorder.Decode[ledger.Member](ro)
 		if err != nil {
@@ -142,7 +151,7 @@
 			continue
 		}
 		if in := identifier.Instance(ro.Name); in != me.Instance {
-			members[in] = row.Address
+			members[in] = row
 		}
 	}
 	me.mu.Lock()
@@ -173,33 +182,60 @@
 	return false
 }
 
-// Relieve asks some other instances to take the duty with a fence; it does not wait.
+// Answers reports whether the process at an address works. It asks over a connection of its
+// own, for an old one may be silent for good.
+func (me *Messenger) Answers(ctx context.Context, address string) bool {
+	ctx, cancel := me.Clock.Bound(ctx, pingTimeout)
+	defer cancel()
+	once := dialer.New(me.Clock, pingTimeout, me.Dial)
+	defer once.Close()
+	var reply peer.ReliefReply
+	return once.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance}, &reply) == nil
+}
+
+// Relieve asks some other instances to take the duty with a fence, those with the most
+// processor first; it does not wait.
 func (me *Messenger) Relieve(ctx context.Context, fence meter.LeaseEpoch) {
-	for in, address := range me.some() {
-		go func() {
-			ctx, end := me.Tracer.Start(ctx, "peer.relieve")
-			var reply peer.ReliefReply
-			err := me.Caller.Call(ctx, address, methodRelieve, peer.Relief{Instance: me.Instance, Fence: fence, TraceParent: me.Tracer.Parent(ctx)}, &reply)
-			end(err)
-			me.Log.Info().Str("peer", string(in)).Int64("fence", int64(fence)).AnErr("refusal", err).Msg("reliefAsked")
-		}()
+	for _, other := range me.strongest(mostAsked, math.MaxInt64) {
+		go me.relieve(ctx, other, fence)
 	}
 }
 
-// some draws other members.
-func (me *Messenger) some() map[identifier.Instance]string {
+// HandOver asks an instance with more processor than this one to take the duty, if there is
+// one; it does not wait.
+func (me *Messenger) HandOver(ctx context.Context, fence meter.LeaseEpoch) {
+	for _, other := range me.strongest(1, me.Yield) {
+		go me.relieve(ctx, other, fence)
+	}
+}
+
+func (me *Messenger) relieve(ctx context.Context, other ledger.Member, fence meter.LeaseEpoch) {
+	ctx, end := me.Tracer.Start(ctx, "peer.relieve")
+	var reply peer.ReliefReply
+	err := me.Caller.Call(ctx, other.Address, methodRelieve, peer.Relief{Instance: me.Instance, Fence: fence, TraceParent: me.Tracer.Parent(ctx)}, &reply)
+	end(err)
+	me.Log.Info().Str("peer", other.Address).Int64("fence", int64(fence)).AnErr("refusal", err).Msg("reliefAsked")
+}
+
+// strongest draws members that yield less than a bound, those that yield least first.
+func (me *Messenger) strongest(most int, below clock.Millis) []ledger.Member {
 	me.mu.Lock()
 	defer me.mu.Unlock()
-	all := make([]identifier.Instance, 0, len(me.members))
-	for in := range me.members {
-		all = append(all, in)
-	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	drawn := map[identifier.Instance]string{}
-	for _, in := range all[:min(len(all), mostAsked)] {
-		drawn[in] = me.members[in]
+	var able []ledger.Member
+	for _, other := range me.members {
+		if other.Yield < below {
+			able = append(able, other)
+		}
 	}
-	return drawn
+	rand.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
+	slices.SortStableFunc(able, func(a, b ledger.Member) int { return cmp.Compare(a.Yield, b.Yield) })
+	return able[:min(len(able), most)]
+}
+
+// Ping answers that this process works.
+func (se *Service) Ping(_ peer.Ping, reply *peer.ReliefReply) error {
+	*reply = peer.ReliefReply{Instance: se.me.Instance}
+	return nil
 }
 
 // Relieve has this instance take the duty of a holder that cannot reach the store.
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -50,6 +50,38 @@
 			sc.becomes(sc.alive(), jo, "running", 500*time.Millisecond)
 		})
 	})
+	t.Run("a holder that neither renews nor answers is not waited for", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			sc.powerOff(sc.holder())
+			jo := sc.accepted(sc.alive(), sc.job(normalPrefix, seconds(1), tasks(1, 1)))
+			sc.becomes(sc.alive(), jo, "running", 1500*time.Millisecond)
+		})
+	})
+	t.Run("a holder that answers is waited for as long as its renewal may take", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			former := sc.holder()
+			sc.cluster.StoreOutage(sc.instances[former].name, fleet.Busy) // too short for it to seek relief
+			sc.sleep(400 * time.Millisecond)
+			sc.cluster.StoreOutage(sc.instances[former].name, fleet.Reachable)
+			sc.sleep(2 * time.Second)
+			asserter.Equal(t, sc.holder(), former)
+		})
+	})
+	t.Run("an instance of little processor hands the duty over to a stronger one", func(t *testing.T) {
+		play(t, 2, 4, func(sc *scene) {
+			strong := sc.holder()
+			weak := 1 - strong
+			sc.kill(weak)
+			sc.yields[sc.instances[weak].name] = 300
+			sc.restart(weak)
+			sc.kill(strong)
+			sc.sleep(time.Second)
+			asserter.Equal(t, sc.holder(), weak)
+			sc.restart(strong)
+			sc.sleep(10 * time.Second)
+			asserter.Equal(t, sc.holder(), strong)
+		})
+	})
 	t.Run("a connection that breaks is no end of the holder's process", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			former := sc.holder()
--- a/wagtailcroftd/participant/operators_test.go
+++ b/wagtailcroftd/participant/operators_test.go
@@ -23,6 +23,8 @@
 	peers struct {
 		mu        sync.Mutex
 		listeners map[string]*pipes
+		// silent holds the instances that lost their power: nobody refuses a connection.
+		silent map[string]bool
 	}
 
 	// pipes is a listener.
@@ -30,25 +32,33 @@
 		conns  chan net.Conn
 		closed chan struct{}
 
+		// dark means that nothing tells of the end of the process.
+		dark bool
+
 		mu sync.Mutex
 		// open are the ends that were accepted; a process that ends closes them.
 		open []net.Conn
 	}
 )
 
-func newPeers() *peers { return &peers{listeners: map[string]*pipes{}} }
+func newPeers() *peers { return &peers{listeners: map[string]*pipes{}, silent: map[string]bool{}} }
 
 func (pe *peers) listen(address string) *pipes {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
+	pe.silent[address] = false
 	pe.listeners[address] = &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
 	return pe.listeners[address]
 }
 
 func (pe *peers) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	pe.mu.Lock()
-	ln := pe.listeners[address]
+	ln, silent := pe.listeners[address], pe.silent[address]
 	pe.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if ln == nil {
 		return nil, syscall.ECONNREFUSED
 	}
@@ -63,6 +73,14 @@
 	}
 }
 
+// silence has an instance lose its power: what it has open stays as it is.
+func (pe *peers) silence(address string) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.silent[address] = true
+	pe.listeners[address].dark = true
+}
+
 // breakAll closes every connection between instances; all of them go on to listen.
 func (pe *peers) breakAll() {
 	pe.mu.Lock()
@@ -95,7 +113,9 @@
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
 	for _, conn := range pi.open {
-		_ = conn.Close() // cannot fail
+		if !pi.dark {
+			_ = conn.Close() // cannot fail
+		}
 	}
 	return nil
 }
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -97,7 +97,7 @@
 	}
 	pa.dialer = dialer.New(ou.Clock, peerTimeout, ou.Dial)
 	pa.messenger = messenger.New(messenger.Options{
-		Instance: set.Instance, Zone: set.Zone, Address: set.PeerAddress, Store: store, Caller: pa.dialer, Dial: ou.Dial,
+		Instance: set.Instance, Zone: set.Zone, Address: set.PeerAddress, Yield: set.YieldMillis, Store: store, Caller: pa.dialer, Dial: ou.Dial,
 		Clock: ou.Clock, Tracer: ou.Tracer, Log: ou.Log,
 	})
 	parts.Peers = pa.messenger
--- a/wagtailcroftd/participant/scene_test.go
+++ b/wagtailcroftd/participant/scene_test.go
@@ -46,8 +46,10 @@
 type (
 	// scene is a cluster with some instances, in a bubble of testing/synctest.
 	scene struct {
-		t         asserter.Test
-		peers     *peers
+		t     asserter.Test
+		peers *peers
+		// yields holds how long instances let others go first; most do not.
+		yields    map[string]clock.Millis
 		cluster   *fleet.Cluster
 		instances []*instance
 		config    wire.Config
@@ -72,7 +74,7 @@
 }
 
 func playIn(t asserter.Test, instances, runners int, fn func(sc *scene)) {
-	sc := &scene{t: t, peers: newPeers(), cluster: fleet.New(fleet.Options{
+	sc := &scene{t: t, peers: newPeers(), yields: map[string]clock.Millis{}, cluster: fleet.New(fleet.Options{
 		Runners: runners, PerRack: 4, MaxLease: leaseTime, Drain: 6 * time.Second, GangTimeout: 3 * time.Second,
 		Room: workload.Room{CPU: 64000, Memory: 128000, Accelerators: 8},
 	})}
@@ -125,7 +127,7 @@
 	in.pa = participant.New(member.Settings{
 		Instance: identifier.Instance(name), StoreAddress: fleet.StoreAddress, MemoryLimit: meter.Bytes(1 << 28),
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeaseOfDutyMillis: 3000,
-		PeerAddress: name, LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
+		PeerAddress: name, YieldMillis: sc.yields[name], LeaseMillis: clock.FromDuration(leaseTime), TakeoverMillis: clock.FromDuration(takeoverTime),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900,
 	}, participant.Outside{Clock: clock.NewRuntime(), Log: sceneLog(name), Meters: instrumenter.New(), Transport: sc.cluster.Transport(name), Tracer: tracer.Nop(), Dial: sc.peers.dial})
 	ln := sc.peers.listen(name)
@@ -195,6 +197,12 @@
 	sc.cluster.StoreOutage(in.name, fleet.Reachable)
 }
 
+// powerOff ends a process without a sign to the others.
+func (sc *scene) powerOff(at int) {
+	sc.peers.silence(sc.instances[at].name)
+	sc.kill(at)
+}
+
 // restart begins the process anew.
 func (sc *scene) restart(at int) { sc.instances[at] = sc.begin(sc.instances[at].name) }
 
