Pause between tries when the store refuses a standby that was told of its holder's end

Cause: a standby that was told that the holder has gone took every failure of its next call as the interruption by that word, and called again at once; while the store refuses connections, it span until its yield had passed. Change: only the word that did interrupt the call counts as an interruption. Test: 'a holder that dies while the store refuses all' hangs without the change.

--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -104,8 +104,10 @@
 		version meter.RowVersion
 		// hint says that a holder has gone; its incarnation must still be the row's.
 		hint hint
-		// interrupt ends the call that waits for a change of the row.
-		interrupt context.CancelFunc
+		// interrupt ends the call that waits for a change of the row; interrupted means that
+		// it has.
+		interrupt   context.CancelFunc
+		interrupted bool
 	}
 
 	// hint is what another instance, or a broken connection, tells of a holder.
@@ -143,6 +145,7 @@
 	defer el.mu.Unlock()
 	el.hint = hint{incarnation: incarnation, fence: fence, why: why, at: el.cl.Now()}
 	if el.interrupt != nil {
+		el.interrupted = true
 		el.interrupt()
 	}
 }
@@ -250,17 +253,18 @@
 	bound, cancel := el.cl.Bound(ctx, wait+WriteTimeout)
 	defer cancel()
 	el.mu.Lock()
-	el.interrupt = cancel
+	el.interrupt, el.interrupted = cancel, false
 	el.mu.Unlock()
 	page, err := el.store.Follow(bound, recorder.Duty, el.after, wait)
 	el.mu.Lock()
 	el.interrupt = nil
+	interrupted := el.interrupted
 	el.mu.Unlock()
 	if eris.Is(err, rowstore.ErrCompacted) {
 		el.after = 0
 		return nil
 	}
-	if _, hinted := el.hinted(); hinted && err != nil {
+	if interrupted {
 		return nil
 	}
 	if err != nil {
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -50,6 +50,20 @@
 			sc.becomes(sc.alive(), jo, "running", 500*time.Millisecond)
 		})
 	})
+	t.Run("a holder that dies while the store refuses all is replaced when it is back", func(t *testing.T) {
+		play(t, 3, 4, func(sc *scene) {
+			former := sc.holder()
+			sc.cluster.StoreOutage("", fleet.Reset)
+			sc.sleep(100 * time.Millisecond)
+			sc.kill(former)
+			sc.sleep(2 * time.Second) // a standby that did not pause between its tries would stop the clock
+			sc.cluster.StoreOutage("", fleet.Reachable)
+			sc.sleep(time.Second)
+			if sc.holder() == former {
+				t.Fatalf("nobody has taken the duty")
+			}
+		})
+	})
 	t.Run("a holder that neither renews nor answers is not waited for", func(t *testing.T) {
 		play(t, 3, 4, func(sc *scene) {
 			sc.powerOff(sc.holder())
