--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -37,6 +37,9 @@
 	// ErrNoAnswer means that the worker did not answer. The command may have been carried
 	// out, may still be carried out later, or may be lost.
 	ErrNoAnswer = eris.New("the worker did not answer; send the command again, or stop the run to learn its outcome")
+	// ErrNotSent means that the latest moment for the command had passed before its first byte
+	// was written, so that nothing was sent.
+	ErrNotSent = eris.New("the command was not sent, because another instance may be the leader by now; send it after the next renewal of the leadership")
 )
 
 type (
@@ -61,6 +64,9 @@
 	Target struct {
 		ID      identifier.Worker
 		Address string
+		// SendBy is the latest moment, on this instance's clock, at which a command may leave
+		// the process.
+		SendBy clock.Millis
 	}
 
 	// StartCommand is the command to start a run of a task.
@@ -114,6 +120,17 @@
 		InMaintenance bool
 	}
 
+	// MaintenanceCommand is the command to start the maintenance of a machine.
+	MaintenanceCommand struct {
+		Machine identifier.Machine
+		Wave    int64
+		Leader  identifier.Instance
+		Fence   meter.LeaseEpoch
+		// SendBy is the latest moment, on this instance's clock, at which the command may leave
+		// the process.
+		SendBy clock.Millis
+	}
+
 	// StopCommand is the command to stop a run.
 	StopCommand struct {
 		Task  string
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -221,7 +221,10 @@
 
 // Wave Table waves, key N. Progress of a maintenance wave, written by the leader.
 type Wave struct {
-	// Begun Machines whose maintenance has begun.
+	// Accepted Machines whose maintenance certainly took place.
+	Accepted []string `json:"accepted,omitempty"`
+
+	// Begun Machines for which the maintenance command may have been sent.
 	Begun     []string `json:"begun"`
 	Completed bool     `json:"completed,omitempty"`
 }
--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -48,6 +48,9 @@
 
 // LeadershipTransfer The leader asks another instance to acquire leadership.
 type LeadershipTransfer struct {
+	// EndsAtRenewal The request ends when the leader's row has this number of renewals; 0 means never.
+	EndsAtRenewal int64 `json:"endsAtRenewal,omitempty"`
+
 	// Fence Fencing token of the leader.
 	Fence externalRef0.LeaseEpoch `json:"fence"`
 
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -29,6 +29,10 @@
 		Capacity workload.Resources
 		// EnforcesCapacity means that the runners refuse tasks that exceed their free capacity.
 		EnforcesCapacity bool
+		// IgnoresFences means that runners and machines carry out commands whatever their fencing
+		// token. The oracle then reports each command that starts, stops or takes down something
+		// with a lower fencing token than an earlier one.
+		IgnoresFences bool
 		// MaxLease is the maximum length of a lease.
 		MaxLease time.Duration
 		// DrainTime is how long a draining runner stays up.
@@ -88,7 +92,7 @@
 	cl := &Cluster{Store: NewStore(), op: op, jobs: map[string]Job{}, gangs: map[string]*gang{}}
 	cl.oracle = &oracle{cluster: cl, acknowledged: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}}
 	cl.Advice = &Advice{cluster: cl, issued: map[string]time.Time{}}
-	cl.machines = &machines{cluster: cl, fences: map[string]string{}, maintenances: map[string]int{}}
+	cl.machines = &machines{cluster: cl, fences: map[string]int64{}, maintenances: map[string]int{}}
 	cl.faults.init()
 	for i := range op.RunnerCount {
 		ru := &Runner{
--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -50,6 +51,17 @@
 	ora.violations = append(ora.violations, rule+": "+fmt.Sprintf(format, args...))
 }
 
+// checkFence reports a command whose fencing token is lower than one that the runner or machine has
+// seen. A poll or a change of speed changes nothing that the newer leader has decided, and a sender
+// cannot see a pause between its check and its write, or a delay on the way.
+func (ora *oracle) checkFence(rq *http.Request, at string, fence, seen int64) {
+	gap, _ := rq.Context().Value(inGap{}).(bool)
+	if gap || rq.URL.Path == "/v1/hold" || rq.URL.Path == "/v1/pace" {
+		return
+	}
+	ora.reportViolation("FENCE", "%s got %s with fencing token %d after %d", at, rq.URL.Path, fence, seen)
+}
+
 // checkStart checks a start that a runner is about to execute.
 func (ora *oracle) checkStart(ru *Runner, key workload.TaskKey, rs wire.RunStart) {
 	ora.starts++
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -108,17 +108,17 @@
 	case "/v1/run-start":
 		var rs wire.RunStart
 		if decode(wr, rq, &rs) {
-			ru.serveStart(wr, rs)
+			ru.serveStart(wr, rq, rs)
 		}
 	case "/v1/run-stop":
 		var rs wire.RunStop
 		if decode(wr, rq, &rs) {
-			ru.serveStop(wr, rs)
+			ru.serveStop(wr, rq, rs)
 		}
 	case "/v1/pace":
 		var pa wire.Pace
 		if decode(wr, rq, &pa) {
-			ru.servePace(wr, pa)
+			ru.servePace(wr, rq, pa)
 		}
 	case "/v1/hold":
 		var ho wire.Hold
@@ -146,7 +146,11 @@
 }
 
 // acceptFence records a fencing token. It refuses the call if a higher one has been seen.
-func (ru *Runner) acceptFence(wr http.ResponseWriter, fence int64) bool {
+func (ru *Runner) acceptFence(wr http.ResponseWriter, rq *http.Request, fence int64) bool {
+	if fence < ru.fence && ru.cluster.op.IgnoresFences {
+		ru.cluster.oracle.checkFence(rq, ru.id, fence, ru.fence)
+		return true
+	}
 	if fence < ru.fence {
 		ru.refuse(wr, "fence")
 		return false
@@ -172,8 +176,8 @@
 	})
 }
 
-func (ru *Runner) serveStart(wr http.ResponseWriter, rs wire.RunStart) {
-	if !ru.acceptFence(wr, rs.Fence) {
+func (ru *Runner) serveStart(wr http.ResponseWriter, rq *http.Request, rs wire.RunStart) {
+	if !ru.acceptFence(wr, rq, rs.Fence) {
 		return
 	}
 	if rs.DeadlineMs <= ru.clock() {
@@ -318,8 +322,8 @@
 	return left
 }
 
-func (ru *Runner) serveStop(wr http.ResponseWriter, rs wire.RunStop) {
-	if !ru.acceptFence(wr, rs.Fence) {
+func (ru *Runner) serveStop(wr http.ResponseWriter, rq *http.Request, rs wire.RunStop) {
+	if !ru.acceptFence(wr, rq, rs.Fence) {
 		return
 	}
 	ru.highestRun[rs.Task] = max(ru.highestRun[rs.Task], rs.Run)
@@ -330,7 +334,7 @@
 }
 
 func (ru *Runner) serveHold(wr http.ResponseWriter, rq *http.Request, ho wire.Hold) {
-	if !ru.acceptFence(wr, ho.Fence) {
+	if !ru.acceptFence(wr, rq, ho.Fence) {
 		return
 	}
 	if ho.DeadlineMs > 0 {
--- a/standin/fleet/services.go
+++ b/standin/fleet/services.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,7 +48,7 @@
 	machines struct {
 		cluster *Cluster
 		// fences maps each machine to the last fencing token accepted for it.
-		fences map[string]string
+		fences map[string]int64
 		// maintenances counts the maintenances of each machine, down is the number of
 		// machines currently down for maintenance, and maxDown the highest value of down.
 		maintenances map[string]int
@@ -113,12 +114,20 @@
 		return
 	}
 	at := ma.cluster.index(strings.TrimPrefix(mu.Machine, "m-"))
-	fence := rq.Header.Get("X-Wagtailcroft-Fencing-Token")
-	if at < 0 || fence < ma.fences[mu.Machine] {
+	fence, err := strconv.ParseInt(rq.Header.Get("X-Wagtailcroft-Fencing-Token"), 10, 64)
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch {
+	case at < 0 || fence < ma.fences[mu.Machine] && !ma.cluster.op.IgnoresFences:
 		reply(wr, http.StatusConflict, wire.MachineReply{Reason: "fence"})
 		return
+	case fence < ma.fences[mu.Machine]:
+		ma.cluster.oracle.checkFence(rq, mu.Machine, fence, ma.fences[mu.Machine])
+	default:
+		ma.fences[mu.Machine] = fence
 	}
-	ma.fences[mu.Machine] = fence
 	ma.startMaintenance(ma.cluster.runners[at], mu.Machine)
 	wr.WriteHeader(http.StatusOK)
 }
@@ -163,8 +172,8 @@
 	cl.Store.Put("op", fmt.Sprintf("wave/%d", number), wa)
 }
 
-func (ru *Runner) servePace(wr http.ResponseWriter, pa wire.Pace) {
-	if !ru.acceptFence(wr, pa.Fence) {
+func (ru *Runner) servePace(wr http.ResponseWriter, rq *http.Request, pa wire.Pace) {
+	if !ru.acceptFence(wr, rq, pa.Fence) {
 		return
 	}
 	if rn := ru.runs[pa.Task]; rn != nil && rn.number == pa.Run {
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -35,19 +36,26 @@
 	gcPercent = 50
 )
 
+// endpoint is an address and what is served there.
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
 var cmdSchedule = commander.Command{
 	Name: "schedule",
 	Help: "Schedule step jobs on the platform until SIGTERM or SIGINT.",
 	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file written by the platform.").Default(platform.SettingsPath()).String()
+		port := cl.Flag("metrics-port", "Port on which the metrics are served as text under /metrics, beside the operators' address; 0 means none.").Default("0").Uint16()
 		trace := &settings.Trace{}
 		cl.Flag("trace-exporter", "Span exporter: none, stderr or otlp.").Default("none").EnumVar((*string)(&trace.Exporter), "none", "stderr", "otlp")
 		cl.Flag("trace-url", "URL of the OTLP collector.").StringVar(&trace.OtlpURL)
-		return func() error { return schedule(*path, *trace) }
+		return func() error { return schedule(*path, *port, *trace) }
 	},
 }
 
-func schedule(path string, trace settings.Trace) error {
+func schedule(path string, metricsPort uint16, trace settings.Trace) error {
 	set, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -71,7 +79,7 @@
 	pa := participant.New(set, participant.Dependencies{
 		Clock: cl, Log: log, Metrics: metrics, Tracer: spans, Dial: (&net.Dialer{}).DialContext,
 	})
-	servers, err := listen(set, pa, log)
+	servers, err := listen(set, metricsPort, pa, log)
 	if err != nil {
 		return err
 	}
@@ -98,15 +106,15 @@
 }
 
 // listen starts the HTTP servers and the peer server on the configured addresses.
-func listen(set member.Settings, pa *participant.Participant, log zerolog.Logger) ([]*http.Server, error) {
-	handlers := []struct {
-		address string
-		handler http.Handler
-	}{
+func listen(set member.Settings, metricsPort uint16, pa *participant.Participant, log zerolog.Logger) ([]*http.Server, error) {
+	handlers := []endpoint{
 		{set.CallerAddress, pa.ClientHandler()},
 		{set.ReadinessAddress, pa.ReadinessHandler()},
 		{set.MetricsAddress, pa.OperatorHandler()},
 	}
+	if host, _, err := net.SplitHostPort(set.MetricsAddress); err == nil && metricsPort > 0 {
+		handlers = append(handlers, endpoint{net.JoinHostPort(host, strconv.Itoa(int(metricsPort))), pa.MetricsHandler()})
+	}
 	var servers []*http.Server
 	for _, ha := range handlers {
 		if ha.address == "" {
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -63,7 +63,7 @@
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker is draining").Msg("startSkipped")
 		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 		te.trigger()
-	case ta.Phase == workload.Starting && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation:
+	case ta.Phase == workload.Starting && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.mayChange(now):
 		if pl.tries > 0 && now-pl.placedAt > startTimeout {
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).Msg("startAbandoned")
 			te.stopTask(key)
@@ -89,12 +89,12 @@
 	}
 	co := fleet.StartCommand{
 		Task: key.String(), Run: pl.run, Payload: te.jobs[key.Job].job.Payload,
-		LeaseEnd: te.leaseEnd(wo, now), Fence: te.leadership.Leader().Fence, Checkpoint: ta.Checkpoint, Ticket: ticket,
+		LeaseEnd: te.leaseEnd(wo, now), Fence: te.fence, Checkpoint: ta.Checkpoint, Ticket: ticket,
 	}
-	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
+	to, before := wo.target(te.changeBy()), *pl
 	pl.startSent, pl.startUncertain, pl.resumed = true, true, ta.Checkpoint != ""
 	pl.tries++
-	te.submitCommand(false, pl, co.Task, func() { te.sendStart(wo, key, pl, to, co) })
+	te.submitCommand(false, pl, co.Task, func() { te.sendStart(wo, key, pl, before, to, co) })
 }
 
 // ticketFor returns the ticket for a start, or an empty ticket where none is needed. It returns
@@ -126,7 +126,9 @@
 	return wo.leaseEnd
 }
 
-func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, to fleet.Target, co fleet.StartCommand) {
+// sendStart sends a start command and applies the answer. before is the placement as it was before
+// the command was submitted.
+func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, before placement, to fleet.Target, co fleet.StartCommand) {
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
 	sent := te.Clock.Now()
 	st, err := te.Workers.Start(ctx, to, co)
@@ -152,6 +154,8 @@
 	switch {
 	case err == nil:
 		confirmStart(en, pl, ta, now)
+	case eris.Is(err, fleet.ErrNotSent):
+		pl.startSent, pl.startUncertain, pl.resumed, pl.tries = before.startSent, before.startUncertain, before.resumed, before.tries
 	case eris.Is(err, fleet.ErrNoAnswer):
 		te.Workers.CloseIdleConnections(to)
 	case eris.Is(err, fleet.ErrLeaseExpired):
@@ -183,6 +187,8 @@
 	switch {
 	case err == nil:
 		return "taken"
+	case eris.Is(err, fleet.ErrNotSent):
+		return "notSent"
 	case eris.Is(err, fleet.ErrNoAnswer):
 		return "silent"
 	}
@@ -190,11 +196,15 @@
 }
 
 func (te *term) submitStop(wo *worker, key workload.TaskKey, pl *placement) {
-	if wo.report.Address == "" {
+	sendBy := te.changeBy()
+	if wo.report.Draining {
+		sendBy = te.keepBy() // the run ends anyway when the worker leaves, and then without a checkpoint
+	}
+	if now := te.Clock.Now(); wo.report.Address == "" || now >= sendBy && !te.mayChange(now) {
 		return
 	}
-	co := fleet.StopCommand{Task: key.String(), Run: pl.run, Fence: te.leadership.Leader().Fence}
-	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
+	co := fleet.StopCommand{Task: key.String(), Run: pl.run, Fence: te.fence}
+	to := wo.target(sendBy)
 	te.submitCommand(true, pl, co.Task, func() { te.sendStop(wo, pl, to, co) })
 }
 
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -22,15 +22,6 @@
 	// maxBytes bounds the size of a transaction; the store accepts 1 MB, and base64 adds a
 	// third.
 	maxBytes = 600_000
-	// renewInterval is the time between two renewals, a fraction of the shortest takeover
-	// timeout.
-	renewInterval = 800 * clock.Millis(1)
-	// transferAfter is how long the store may accept no write before the leader asks other
-	// instances to acquire the leadership. It is far longer than a slow answer and far shorter
-	// than the takeover timeout.
-	transferAfter = 500 * clock.Millis(1)
-	// transferInterval is the time between two such requests.
-	transferInterval = 1000 * clock.Millis(1)
 	// countsInterval is the shortest time between two writes of the pending-job counts, which
 	// may be up to 2 s old.
 	countsInterval = 500 * clock.Millis(1)
@@ -49,6 +40,18 @@
 		runs []*placement
 	}
 
+	// write is a transaction that is being written, possibly in several tries.
+	write struct {
+		changes []change
+		// renew means that the leadership is renewed; next is the new content of its row.
+		renew bool
+		next  ledger.Leader
+		// counts are the pending-job counts to write; nil means none.
+		counts map[string]int
+		// first is when the first try was sent, sent when the last one was.
+		first, sent clock.Millis
+	}
+
 	// lastCompletion is the number of the last completion of one incarnation of a worker.
 	lastCompletion struct {
 		incarnation workload.Incarnation
@@ -129,11 +132,12 @@
 // because of a conflict are retried in the next round.
 func (te *term) commit(ba batch) bool {
 	complete := true
-	rest, counts := ba.changes, ba.counts
-	for len(rest) > 0 || counts != nil || te.renewalDue() {
+	rest, counts, renew := ba.changes, ba.counts, te.renewalDue()
+	for len(rest) > 0 || counts != nil || renew {
 		part, left := split(rest)
-		done, ok := te.writeChanges(part, te.renewalDue(), counts)
+		done, ok := te.writeChanges(part, renew, counts)
 		rest, counts = left, nil
+		renew = len(rest) > 0 && te.renewalDue() // a round with nothing left must end, even if a commit takes as long as the interval
 		if !ok {
 			return false
 		}
@@ -151,9 +155,6 @@
 	return true
 }
 
-// renewalDue reports whether the leadership must be renewed. Only the rounds renew it.
-func (te *term) renewalDue() bool { return te.Clock.Now()-te.renewedAt >= renewInterval }
-
 // split returns the changes that fit into one transaction, and those left over.
 func split(changes []change) (part, left []change) {
 	entries, size := 0, 0
@@ -170,11 +171,14 @@
 // writeChanges records changes under the fencing token. done is false if a conflict kept the
 // changes out, ok is false if the term is over.
 func (te *term) writeChanges(changes []change, renew bool, counts map[string]int) (done, ok bool) {
-	next := te.leadership.Leader()
+	wr := &write{changes: changes, renew: renew, next: te.leadership.Leader(), counts: counts, first: te.Clock.Now()}
 	tr := rowstore.Transaction{Preconditions: []rowstore.Precondition{{Key: recorder.LeadershipKey, Version: te.leadership.Version()}}}
 	if renew {
-		next.Renewals++
-		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.LeadershipKey, Value: recorder.Encode(next)})
+		wr.next.Renewals++
+		te.mu.Lock()
+		te.attempted = wr.next.Renewals
+		te.mu.Unlock()
+		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.LeadershipKey, Value: recorder.Encode(wr.next)})
 	}
 	if counts != nil {
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.PendingCountsKey, Value: recorder.Encode(ledger.PendingCounts{Queues: counts})})
@@ -182,25 +186,24 @@
 	for i := range changes {
 		tr.Add(changes[i].tr)
 	}
-	first := te.Clock.Now()
 	for tries := 1; te.ctx.Err() == nil; tries++ {
-		sent := te.Clock.Now()
+		wr.sent = te.Clock.Now()
 		ctx, cancel := te.Clock.WithTimeout(te.ctx, elector.WriteTimeout)
 		version, err := te.Store.Write(ctx, tr)
 		cancel()
-		te.Metrics.Observe("record", te.Clock.Now()-sent)
+		te.Metrics.Observe("record", te.Clock.Now()-wr.sent)
 		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
 			te.Metrics.Count("records", "done")
-			te.markRecorded(changes, version, renew, next, counts, sent)
+			te.markRecorded(wr, version, wr.sent)
 			return true, true
 		case eris.As(err, &conflict):
-			return te.resolveConflict(changes, conflict, renew, next, counts, sent)
+			return te.resolveConflict(wr, conflict)
 		case eris.Is(err, rowstore.ErrNotExecuted) || eris.Is(err, rowstore.ErrOutcomeUnknown):
 			te.Metrics.Count("records", "delayed")
 			te.log.Warn().Err(err).Int("try", tries).Int("jobs", len(changes)).Msg("commitDelayed")
-			te.requestTransfer(first)
+			te.requestTransfer(wr.first)
 			te.Store.CloseIdleConnections()
 			clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
 		default:
@@ -212,32 +215,21 @@
 	return false, false
 }
 
-// requestTransfer asks other instances to acquire the leadership when the store has accepted no
-// write from this one for a while, because they may still reach the store.
-func (te *term) requestTransfer(since clock.Millis) {
-	now := te.Clock.Now()
-	if now-since < transferAfter || now-te.transferRequestedAt < transferInterval {
-		return
-	}
-	te.transferRequestedAt = now
-	te.log.Info().Int64("failingMillis", int64(now-since)).Msg("leadershipTransferNeeded")
-	te.Peers.RequestTransfer(te.ctx, te.leadership.Leader().Fence)
-}
-
-// markRecorded updates the state of the term after a successful write.
-func (te *term) markRecorded(changes []change, version meter.RowVersion, renew bool, next ledger.Leader, counts map[string]int, sent clock.Millis) {
+// markRecorded updates the state of the term after a write that took effect at a time or later.
+func (te *term) markRecorded(wr *write, version meter.RowVersion, effective clock.Millis) {
 	te.mu.Lock()
 	defer te.mu.Unlock()
-	te.confirmedAt = max(te.confirmedAt, sent)
-	if renew {
-		te.leadership.RecordRenewal(next, version)
-		te.renewedAt = sent
+	te.confirmedAt = max(te.confirmedAt, wr.sent)
+	te.commitTime = te.Clock.Now() - wr.sent
+	if wr.renew {
+		te.leadership.RecordRenewal(wr.next, version)
+		te.renewedAt, te.renewals = effective, wr.next.Renewals
 	}
-	if counts != nil {
-		te.pendingCounts = counts
+	if wr.counts != nil {
+		te.pendingCounts = wr.counts
 	}
-	for i := range changes {
-		te.markChangeRecorded(&changes[i], version)
+	for i := range wr.changes {
+		te.markChangeRecorded(&wr.changes[i], version)
 	}
 }
 
@@ -253,14 +245,14 @@
 
 // resolveConflict finds the cause of a conflict: an earlier attempt of the same transaction
 // took effect, the leadership was lost, or the row of a job differs from the expected one.
-func (te *term) resolveConflict(changes []change, co *rowstore.ConflictError, renew bool, next ledger.Leader, counts map[string]int, sent clock.Millis) (done, ok bool) {
+func (te *term) resolveConflict(wr *write, co *rowstore.ConflictError) (done, ok bool) {
 	leaderRow := co.Row(recorder.LeadershipKey)
-	if te.tookEffect(changes, co, renew, next) {
+	if te.tookEffect(wr, co) {
 		version := leaderRow.Version
-		for i := range changes {
-			version = max(version, co.Row(recorder.JobKey(recorder.Jobs, changes[i].entry.job.ID)).Version)
+		for i := range wr.changes {
+			version = max(version, co.Row(recorder.JobKey(recorder.Jobs, wr.changes[i].entry.job.ID)).Version)
 		}
-		te.markRecorded(changes, version, renew, next, counts, sent)
+		te.markRecorded(wr, version, wr.first)
 		return true, true
 	}
 	if leaderRow.Version != te.leadership.Version() {
@@ -269,22 +261,22 @@
 	}
 	te.mu.Lock()
 	defer te.mu.Unlock()
-	for i := range changes {
-		te.refreshVersion(changes[i].entry, co)
+	for i := range wr.changes {
+		te.refreshVersion(wr.changes[i].entry, co)
 	}
 	return false, true
 }
 
 // tookEffect reports whether the rows are as the transaction would have left them.
-func (te *term) tookEffect(changes []change, co *rowstore.ConflictError, renew bool, next ledger.Leader) bool {
-	if renew && !bytes.Equal(co.Row(recorder.LeadershipKey).Value, recorder.Encode(next)) {
+func (te *term) tookEffect(wr *write, co *rowstore.ConflictError) bool {
+	if wr.renew && !bytes.Equal(co.Row(recorder.LeadershipKey).Value, recorder.Encode(wr.next)) {
 		return false
 	}
-	if !renew && co.Row(recorder.LeadershipKey).Version != te.leadership.Version() {
+	if !wr.renew && co.Row(recorder.LeadershipKey).Version != te.leadership.Version() {
 		return false
 	}
-	for i := range changes {
-		ch := &changes[i]
+	for i := range wr.changes {
+		ch := &wr.changes[i]
 		row := co.Row(recorder.JobKey(recorder.Jobs, ch.entry.job.ID))
 		if ch.ended && row.Version != 0 || !ch.ended && !bytes.Equal(row.Value, ch.value) {
 			return false
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -49,11 +49,11 @@
 	Peers interface {
 		elector.Peers
 		// RequestTransfer asks some of them to acquire the leadership from the leader with a
-		// fencing token; it does not wait.
-		RequestTransfer(ctx context.Context, fence meter.LeaseEpoch)
-		// OfferTransfer asks one that has more CPU, if there is one, to acquire the leadership;
-		// it does not wait.
-		OfferTransfer(ctx context.Context, fence meter.LeaseEpoch)
+		// fencing token, until the leader's row has a number of renewals; it does not wait.
+		RequestTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64)
+		// OfferTransfer asks one that has more CPU to acquire the leadership, and reports whether
+		// there is one; it does not wait.
+		OfferTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) bool
 	}
 
 	// Advisers tells which workers may run the steps of the queues that use the advice service.
@@ -165,9 +165,9 @@
 
 // AcceptTransfer makes this instance acquire the leadership from a leader that requests a
 // transfer, unless this instance is the leader itself.
-func (co *Controller) AcceptTransfer(fence meter.LeaseEpoch) {
+func (co *Controller) AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64) {
 	if el := co.candidate.Load(); el != nil {
-		el.Suspect("", fence, "its holder asks for it")
+		el.AcceptTransfer(fence, endsAtRenewal)
 	}
 }
 
--- a/wagtailcroftd/controller/maintenance.go
+++ b/wagtailcroftd/controller/maintenance.go
@@ -14,7 +14,7 @@
 func (te *term) runMaintenance() {
 	err := maintainer.New(maintainer.Options{
 		Store: te.Store, Machines: te.Machines, Workers: drainer{te}, Waves: te.Policies.Waves, WaveStatus: te.WaveStatus,
-		Clock: te.Clock, Log: te.log, Instance: te.op.Instance, Fence: te.leadership.Leader().Fence, StartDelay: te.op.MaintenanceDelay,
+		Clock: te.Clock, Log: te.log, Instance: te.op.Instance, Fence: te.fence, SendBy: te.lockedChangeBy, StartDelay: te.op.MaintenanceDelay,
 	}).Run(te.ctx)
 	if err != nil {
 		te.loseLeadership("the machine service obeys a newer leader")
@@ -48,14 +48,6 @@
 	return len(wo.runs)+len(wo.orphans) == 0
 }
 
-// Drained reports whether a worker that was drained still exists.
-func (dr drainer) Drained(id identifier.Worker) bool {
-	dr.te.mu.Lock()
-	defer dr.te.mu.Unlock()
-	wo := dr.te.workers[id]
-	return wo != nil && wo.inMaintenance
-}
-
 // MaintenanceBegun ends the maintenance state of the worker, and blocks new work for a short time
 // because the machine is about to go down.
 func (dr drainer) MaintenanceBegun(id identifier.Worker) {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -31,7 +31,7 @@
 		return
 	}
 	busy := len(wo.runs)+len(wo.orphans) > 0
-	co := fleet.PollCommand{Fence: te.leadership.Leader().Fence}
+	co := fleet.PollCommand{Fence: te.fence}
 	switch {
 	case (!wo.contacted || wo.failures > 0) && (wo.listed || busy):
 		// A worker must answer before it gets work, both at first contact and after a failure.
@@ -61,7 +61,7 @@
 		co.LeaseEnd = te.leaseEnd(wo, now)
 	}
 	wo.polling = true
-	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
+	to := wo.target(te.keepBy())
 	if err := te.polls.Submit(!wo.contacted, func() { te.poll(wo, to, co) }); err != nil {
 		wo.polling = false
 		wo.pollAfter = now + commandRetryPause
@@ -81,6 +81,10 @@
 	if te.staleAnswer(wo, st, err, now) {
 		return
 	}
+	if eris.Is(err, fleet.ErrNotSent) {
+		wo.pollAfter = now + firstPollPause
+		return
+	}
 	defer te.trigger()
 	if err != nil {
 		te.pollFailed(wo, to, err, now)
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -28,7 +28,7 @@
 		case <-te.ctx.Done():
 			return
 		case <-te.roundTrigger:
-		case <-te.Clock.After(maxRoundInterval):
+		case <-te.Clock.After(te.untilRenewal()):
 		}
 		started := te.Clock.Now()
 		te.mu.Lock()
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -42,10 +42,6 @@
 	// connection can stop answering without an error; with the tailer's slack this is detected
 	// within the 2 s in which a draining worker must stop getting new work.
 	followWait = 1000 * clock.Millis(1)
-	// offerInterval is the time between two offers to transfer the leadership to an instance
-	// with more CPU. It gives an instance that has just restarted time to catch up with the
-	// store.
-	offerInterval = 4000 * clock.Millis(1)
 	// reportBatchDelay batches the reports of workers. It is short enough that a draining
 	// worker stops getting new work within the required 2 s.
 	reportBatchDelay = 150 * clock.Millis(1)
@@ -57,11 +53,13 @@
 	term struct {
 		*Controller
 		leadership *elector.Elector
-		log        zerolog.Logger
-		commands   *pool.Pool
-		polls      *pool.Pool
-		cancel     context.CancelFunc
-		ctx        context.Context
+		// fence is the fencing token of the term.
+		fence    meter.LeaseEpoch
+		log      zerolog.Logger
+		commands *pool.Pool
+		polls    *pool.Pool
+		cancel   context.CancelFunc
+		ctx      context.Context
 		// roundTrigger starts a round early, dispatchTrigger a dispatch of the commands that
 		// are due.
 		roundTrigger    chan struct{}
@@ -92,11 +90,7 @@
 		loaded bool
 		// confirmedAt is when the last successful commit under the fencing token was sent.
 		confirmedAt clock.Millis
-		// renewedAt is when the last successful renewal of the leadership was sent.
-		renewedAt clock.Millis
-		// transferRequestedAt is when other instances were last asked to acquire the
-		// leadership.
-		transferRequestedAt clock.Millis
+		permission
 		// pendingCounts is the content of the row of pending-job counts; countedAt is when
 		// counts were last added to a batch.
 		pendingCounts map[string]int
@@ -133,6 +127,7 @@
 	return &term{
 		Controller:      co,
 		leadership:      el,
+		fence:           el.Leader().Fence,
 		log:             co.Log.With().Int64("fence", int64(el.Leader().Fence)).Logger(),
 		commands:        pool.New(commandWorkers, commandQueue),
 		polls:           pool.New(pollWorkers, pollQueue),
@@ -146,8 +141,8 @@
 		predictor:       predictor.New(),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
 		failedWorkers:   map[identifier.Job]map[identifier.Worker]bool{},
-		confirmedAt:     now,
-		renewedAt:       now,
+		confirmedAt:     el.AcquiredAt(),
+		permission:      permission{renewedAt: el.AcquiredAt()},
 		pendingCounts:   map[string]int{},
 	}
 }
@@ -179,20 +174,6 @@
 	wg.Go(func() { ta.Run(te.ctx, ha) })
 }
 
-// offerTransfers regularly offers the leadership to an instance with more CPU, as long as the
-// store accepts writes from this one. An instance with little CPU can have become the leader while
-// the others were cut off or had failed.
-func (te *term) offerTransfers() {
-	for clock.Sleep(te.ctx, te.Clock, offerInterval) {
-		te.mu.Lock()
-		reachable := te.Clock.Now()-te.confirmedAt < offerInterval/2
-		te.mu.Unlock()
-		if reachable {
-			te.Peers.OfferTransfer(te.ctx, te.leadership.Leader().Fence)
-		}
-	}
-}
-
 // shutDown cancels the calls in progress and waits until they have returned.
 func (te *term) shutDown() {
 	te.cancel()
--- a/wagtailcroftd/controller/throttle.go
+++ b/wagtailcroftd/controller/throttle.go
@@ -61,8 +61,8 @@
 }
 
 func (te *term) submitThrottle(wo *worker, key workload.TaskKey, pl *placement, next meter.Percent) {
-	co := fleet.ThrottleCommand{Task: key.String(), Run: pl.run, Percent: next, Fence: te.leadership.Leader().Fence}
-	to := fleet.Target{ID: wo.id, Address: wo.report.Address}
+	co := fleet.ThrottleCommand{Task: key.String(), Run: pl.run, Percent: next, Fence: te.fence}
+	to := wo.target(te.keepBy())
 	pl.throttling = true
 	command := func() {
 		ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -78,7 +78,7 @@
 		return View{}, false
 	}
 	now := te.Clock.Now()
-	vi := View{Fence: te.leadership.Leader().Fence, Workspaces: slices.Clone(po.Workspaces)}
+	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces)}
 	for _, wo := range te.workers {
 		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
 	}
--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -94,6 +94,8 @@
 		// leader is nil while the row is absent.
 		leader  *ledger.Leader
 		version meter.RowVersion
+		// acquiredAt is when the transaction that made this instance the leader was first sent.
+		acquiredAt clock.Millis
 		// suspicion is the last report that a leader has failed. It is ignored unless it
 		// matches the leader in the row.
 		suspicion suspicion
@@ -117,6 +119,10 @@
 // on it.
 func (el *Elector) Version() meter.RowVersion { return el.version }
 
+// AcquiredAt returns when the transaction that made this instance the leader was first sent; it
+// took effect at this time or later.
+func (el *Elector) AcquiredAt() clock.Millis { return el.acquiredAt }
+
 // RecordRenewal records the row that this instance has written as the leader.
 func (el *Elector) RecordRenewal(next ledger.Leader, version meter.RowVersion) {
 	el.setRow(&next, version)
@@ -269,6 +275,7 @@
 		next.Fence = el.leader.Fence + 1
 		previous = el.leader.Instance
 	}
+	el.acquiredAt = el.cl.Now()
 	version, err := el.write(ctx, el.version, next)
 	if err != nil {
 		el.log.Info().Err(err).Str("former", string(previous)).Msg("leadershipNotAcquired")
--- a/wagtailcroftd/elector/suspicion.go
+++ b/wagtailcroftd/elector/suspicion.go
@@ -14,6 +14,10 @@
 	// pingAfter is how long the row must not have changed before a standby pings the leader:
 	// one renewal interval plus the network latency of the next renewal.
 	pingAfter = 950 * clock.Millis(1)
+	// ExclusivePeriod is the time after a renewal was sent in which no other instance acquires
+	// the leadership, unless the leader has asked for it or its process has ended: a standby does
+	// nothing for pingAfter. A clock may run 3% fast.
+	ExclusivePeriod = pingAfter * 97 / 100
 	// suspicionDelayDivisor shortens the election delay when the leader is suspected. The
 	// shortened delays of instances with different CPU still differ by more than the network
 	// latency to the store.
@@ -31,16 +35,27 @@
 	fence       meter.LeaseEpoch
 	// version is the only row version for which the suspicion is valid; 0 means any version.
 	version meter.RowVersion
-	reason  string
-	at      clock.Millis
+	// endsAtRenewal is the number of renewals from which the suspicion is no longer valid; 0 means
+	// no such limit.
+	endsAtRenewal int64
+	reason        string
+	at            clock.Millis
 }
 
-// Suspect records a suspicion that the leader with a fencing token has failed. With an
-// incarnation the failure is certain; without one the suspicion expires after reportTimeout.
-func (el *Elector) Suspect(incarnation string, fence meter.LeaseEpoch, reason string) {
+// AcceptTransfer makes this instance acquire leadership from the leader with a fencing token, at
+// the request of that leader, until the leader's row has the given number of renewals; 0 means no
+// such limit.
+func (el *Elector) AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64) {
+	el.suspect(suspicion{fence: fence, endsAtRenewal: endsAtRenewal, reason: "its holder asks for it"})
+}
+
+// suspect records a suspicion. With an incarnation the failure of the leader is certain; without one
+// the suspicion expires after reportTimeout.
+func (el *Elector) suspect(su suspicion) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	el.suspicion = suspicion{incarnation: incarnation, fence: fence, reason: reason, at: el.cl.Now()}
+	su.at = el.cl.Now()
+	el.suspicion = su
 	if el.interrupt != nil {
 		el.interrupted = true
 		el.interrupt()
@@ -56,7 +71,8 @@
 		return suspicion{}, false
 	}
 	if su.incarnation == "" {
-		return su, el.cl.Now()-su.at <= reportTimeout
+		ended := su.endsAtRenewal != 0 && el.leader.Renewals >= su.endsAtRenewal
+		return su, !ended && el.cl.Now()-su.at <= reportTimeout
 	}
 	return su, su.incarnation == el.leader.Incarnation && (su.version == 0 || su.version == el.version)
 }
@@ -85,7 +101,7 @@
 	el.watchedIncarnation = watched.Incarnation
 	go func() {
 		if el.peers.AwaitExit(ctx, watched.Address) {
-			el.Suspect(watched.Incarnation, watched.Fence, "its process has ended")
+			el.suspect(suspicion{incarnation: watched.Incarnation, fence: watched.Fence, reason: "its process has ended"})
 		}
 	}()
 }
--- a/wagtailcroftd/instrumenter/instrumenter.go
+++ b/wagtailcroftd/instrumenter/instrumenter.go
@@ -29,12 +29,14 @@
 	// reported holds the counters as of the last call of CounterDeltas.
 	reported   map[string]map[string]int64
 	histograms map[string]*hdrhistogram.Histogram
+	// sums holds the sum of the durations in each histogram.
+	sums map[string]int64
 }
 
 // New returns an instrumenter without counters and histograms.
 func New() *Instrumenter {
 	return &Instrumenter{
-		mu: locker.New(locker.RankPlatform), counters: map[string]map[string]int64{}, reported: map[string]map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{},
+		mu: locker.New(locker.RankPlatform), counters: map[string]map[string]int64{}, reported: map[string]map[string]int64{}, histograms: map[string]*hdrhistogram.Histogram{}, sums: map[string]int64{},
 	}
 }
 
@@ -62,7 +64,9 @@
 		hi = hdrhistogram.New(1, maxMillis, significantDigits)
 		in.histograms[name] = hi
 	}
-	_ = hi.RecordValue(min(max(int64(d), 1), maxMillis)) // cannot fail: the value is within the bounds
+	millis := min(max(int64(d), 1), maxMillis)
+	_ = hi.RecordValue(millis) // cannot fail: the value is within the bounds
+	in.sums[name] += millis
 }
 
 // CounterDeltas returns the increments of the counters since the previous call, keyed by
--- a/wagtailcroftd/instrumenter/workers.go
+++ b/wagtailcroftd/instrumenter/workers.go
@@ -67,6 +67,8 @@
 	switch {
 	case err == nil:
 		label = "taken"
+	case eris.Is(err, fleet.ErrNotSent):
+		label = "notSent"
 	case eris.Is(err, fleet.ErrNoAnswer):
 		label = "silent"
 	}
--- a/wagtailcroftd/maintainer/maintainer.go
+++ b/wagtailcroftd/maintainer/maintainer.go
@@ -42,7 +42,7 @@
 	// Machines lists machines and starts their maintenance.
 	Machines interface {
 		List(ctx context.Context) ([]fleet.Machine, error)
-		BeginMaintenance(ctx context.Context, machine identifier.Machine, wave int64, leader identifier.Instance, fence meter.LeaseEpoch) error
+		BeginMaintenance(ctx context.Context, co fleet.MaintenanceCommand) error
 	}
 
 	// Workers drains workers for the maintenance of their machines.
@@ -50,8 +50,6 @@
 		// Drain keeps new work from a machine's worker and stops its runs. It reports whether no
 		// run is left.
 		Drain(ma fleet.Machine) bool
-		// Drained reports whether a worker that was drained still exists.
-		Drained(id identifier.Worker) bool
 		// MaintenanceBegun is called when the maintenance of the worker's machine begins.
 		MaintenanceBegun(id identifier.Worker)
 	}
@@ -69,37 +67,50 @@
 		Log        zerolog.Logger
 		Instance   identifier.Instance
 		Fence      meter.LeaseEpoch
-		// StartDelay is how long a new leader waits before it sends commands to machines.
+		// SendBy returns the latest moment at which a command may leave this process.
+		SendBy func() clock.Millis
+		// StartDelay is how long a new leader waits before it sends commands to machines, so that
+		// those of a former leader have arrived.
 		StartDelay clock.Millis
 	}
 
 	// Maintainer carries out waves during one leader term.
-	Maintainer struct{ Options }
+	Maintainer struct {
+		Options
+		// accepted holds, for each wave, the machines whose maintenance certainly took place. It
+		// goes into the wave's row with the next write, so that the rows may lack the last ones.
+		accepted map[int64]map[identifier.Machine]bool
+	}
 
 	// wave is this leader's state of a wave.
 	wave struct {
 		request fleet.MaintenanceWave
 		// row is the wave's row in the store.
 		row rowstore.Row
-		// begun holds the machines whose maintenance is recorded as begun.
-		begun map[identifier.Machine]bool
+		// begun holds the machines whose maintenance is recorded as begun, accepted those of
+		// which it is known that it took place. Only the latter can be finished.
+		begun, accepted map[identifier.Machine]bool
 	}
 )
 
 // New returns a maintainer for one leader term.
-func New(op Options) *Maintainer { return &Maintainer{op} }
+func New(op Options) *Maintainer {
+	return &Maintainer{Options: op, accepted: map[int64]map[identifier.Machine]bool{}}
+}
 
 // Run carries out waves until ctx ends, or until the machine service obeys a newer leader; then
 // it returns fleet.ErrFenced. A machine is drained, its maintenance is recorded as begun, and
-// then the command is sent. Each of these steps may be repeated.
+// then the command is sent. Each of these steps may be repeated. A command of a former leader may
+// have been lost or may still arrive, so that it is sent again until one is answered; the machine
+// service carries it out once.
 func (mt *Maintainer) Run(ctx context.Context) error {
 	started := mt.Clock.Now()
 	for clock.Sleep(ctx, mt.Clock, pollInterval) {
 		waves := mt.Waves()
-		if len(waves) == 0 || mt.Clock.Now()-started < mt.StartDelay {
+		if len(waves) == 0 {
 			continue
 		}
-		err := mt.advanceWaves(ctx, waves)
+		err := mt.advanceWaves(ctx, waves, mt.Clock.Now()-started >= mt.StartDelay)
 		if eris.Is(err, fleet.ErrFenced) {
 			return err
 		}
@@ -110,14 +121,19 @@
 	return nil
 }
 
-func (mt *Maintainer) advanceWaves(ctx context.Context, requested []fleet.MaintenanceWave) error {
+// advanceWaves takes the next steps of all waves. Unless commands may be sent, it only drains the
+// machines to which a former leader may have sent one.
+func (mt *Maintainer) advanceWaves(ctx context.Context, requested []fleet.MaintenanceWave, commands bool) error {
 	rows, _, err := tailer.ReadTable(ctx, mt.Store, mt.Clock, recorder.Waves)
 	if err != nil {
 		return err
 	}
 	var open []*wave
 	for _, req := range requested {
-		wa := &wave{request: req, row: rowstore.Row{Key: recorder.WaveKey(req.Number)}, begun: map[identifier.Machine]bool{}}
+		if mt.accepted[req.Number] == nil {
+			mt.accepted[req.Number] = map[identifier.Machine]bool{}
+		}
+		wa := &wave{request: req, row: rowstore.Row{Key: recorder.WaveKey(req.Number)}, begun: map[identifier.Machine]bool{}, accepted: mt.accepted[req.Number]}
 		completed, err := wa.load(rows)
 		if err != nil {
 			return err
@@ -140,6 +156,10 @@
 		listed[ma.ID] = ma
 	}
 	for _, wa := range open {
+		if !commands {
+			mt.drainBegun(wa, listed)
+			continue
+		}
 		if err := mt.advanceWave(ctx, wa, listed); err != nil {
 			return err
 		}
@@ -160,11 +180,23 @@
 		for _, id := range row.Begun {
 			wa.begun[identifier.Machine(id)] = true
 		}
+		for _, id := range row.Accepted {
+			wa.accepted[identifier.Machine(id)] = true
+		}
 		return row.Completed, nil
 	}
 	return false, nil
 }
 
+// drainBegun drains the machines to which a former leader may have sent the command.
+func (mt *Maintainer) drainBegun(wa *wave, listed map[identifier.Machine]fleet.Machine) {
+	for id := range wa.begun {
+		if ma, exists := listed[id]; exists && ma.Up && !wa.accepted[id] {
+			mt.Workers.Drain(ma)
+		}
+	}
+}
+
 // advanceWave takes the next steps of a wave: it starts the maintenance of machines as far as
 // the limit allows, or records the wave as completed.
 func (mt *Maintainer) advanceWave(ctx context.Context, wa *wave, listed map[identifier.Machine]fleet.Machine) error {
@@ -172,15 +204,20 @@
 	var next []fleet.Machine
 	for _, id := range wa.request.Machines {
 		ma, exists := listed[id]
+		if wa.begun[id] && ma.InMaintenance {
+			wa.accepted[id] = true
+		}
 		switch {
 		case !exists: // the machine has been removed
 		case wa.begun[id] && !ma.Up:
 			down++
 			left++
-		case wa.begun[id] && mt.Workers.Drained(ma.Worker):
-			// The machine still has its old worker, so the command may not have been executed.
+		case wa.begun[id] && !wa.accepted[id]:
 			down++
 			left++
+			if !mt.Workers.Drain(ma) {
+				continue
+			}
 			if err := mt.beginMaintenance(ctx, wa, ma); err != nil {
 				return err
 			}
@@ -216,11 +253,14 @@
 // the next read of the list.
 func (mt *Maintainer) beginMaintenance(ctx context.Context, wa *wave, ma fleet.Machine) error {
 	callCtx, cancel := mt.Clock.WithTimeout(ctx, callTimeout)
-	err := mt.Machines.BeginMaintenance(callCtx, ma.ID, wa.request.Number, mt.Instance, mt.Fence)
+	err := mt.Machines.BeginMaintenance(callCtx, fleet.MaintenanceCommand{
+		Machine: ma.ID, Wave: wa.request.Number, Leader: mt.Instance, Fence: mt.Fence, SendBy: mt.SendBy(),
+	})
 	cancel()
 	mt.Log.Info().Str("machine", string(ma.ID)).Int64("wave", wa.request.Number).AnErr("refusal", err).Msg("maintenanceCommandSent")
 	switch {
 	case err == nil:
+		wa.accepted[ma.ID] = true
 		mt.Workers.MaintenanceBegun(ma.Worker)
 	case eris.Is(err, fleet.ErrFenced):
 		return err
@@ -231,10 +271,7 @@
 // recordWave writes the progress of a wave, on the condition that its row has not changed since
 // it was read.
 func (mt *Maintainer) recordWave(ctx context.Context, wa *wave, completed bool) error {
-	begun := make([]string, 0, len(wa.begun))
-	for _, id := range slices.Sorted(maps.Keys(wa.begun)) {
-		begun = append(begun, string(id))
-	}
+	begun, accepted := sorted(wa.begun), sorted(wa.accepted)
 	status, err := mt.WaveStatus(wa.request.Number, completed)
 	if err != nil {
 		return err
@@ -244,7 +281,7 @@
 	version, err := mt.Store.Write(ctx, rowstore.Transaction{
 		Preconditions: []rowstore.Precondition{{Key: wa.row.Key, Version: wa.row.Version}},
 		Puts: []rowstore.Put{
-			{Key: wa.row.Key, Value: recorder.Encode(ledger.Wave{Begun: begun, Completed: completed})}, status,
+			{Key: wa.row.Key, Value: recorder.Encode(ledger.Wave{Begun: begun, Accepted: accepted, Completed: completed})}, status,
 		},
 	})
 	if err != nil {
@@ -256,3 +293,12 @@
 	}
 	return nil
 }
+
+// sorted returns the names of machines in order.
+func sorted(machines map[identifier.Machine]bool) []string {
+	names := make([]string, 0, len(machines))
+	for _, id := range slices.Sorted(maps.Keys(machines)) {
+		names = append(names, string(id))
+	}
+	return names
+}
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -68,8 +68,8 @@
 	// Candidate can acquire leadership.
 	Candidate interface {
 		// AcceptTransfer makes this instance acquire leadership from the leader with a fencing
-		// token.
-		AcceptTransfer(fence meter.LeaseEpoch)
+		// token, until the leader's row has the given number of renewals.
+		AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64)
 	}
 
 	// Options are the settings and dependencies of a messenger.
@@ -202,25 +202,29 @@
 // RequestTransfer asks up to maxTransferRequests other instances to acquire leadership from the
 // leader with a fencing token. It prefers those with the shortest election delay, which have the
 // most CPU. It does not wait for their answers.
-func (me *Messenger) RequestTransfer(ctx context.Context, fence meter.LeaseEpoch) {
+func (me *Messenger) RequestTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) {
 	for _, other := range me.candidates(maxTransferRequests, math.MaxInt64) {
-		go me.requestTransfer(ctx, other, fence)
+		go me.requestTransfer(ctx, other, fence, endsAtRenewal)
 	}
 }
 
 // OfferTransfer asks one instance with a shorter election delay than this one, and thus more CPU,
-// to acquire leadership, if there is one. It does not wait for the answer.
-func (me *Messenger) OfferTransfer(ctx context.Context, fence meter.LeaseEpoch) {
-	for _, other := range me.candidates(1, me.ElectionDelay) {
-		go me.requestTransfer(ctx, other, fence)
+// to acquire leadership, and reports whether there is one. It does not wait for the answer.
+func (me *Messenger) OfferTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) bool {
+	others := me.candidates(1, me.ElectionDelay)
+	for _, other := range others {
+		go me.requestTransfer(ctx, other, fence, endsAtRenewal)
 	}
+	return len(others) > 0
 }
 
 // requestTransfer asks another instance to acquire leadership and logs the result.
-func (me *Messenger) requestTransfer(ctx context.Context, other ledger.Member, fence meter.LeaseEpoch) {
+func (me *Messenger) requestTransfer(ctx context.Context, other ledger.Member, fence meter.LeaseEpoch, endsAtRenewal int64) {
 	ctx, end := me.Tracer.Start(ctx, "peer.relieve")
 	var reply peer.InstanceReply
-	err := me.Caller.Call(ctx, other.Address, methodRelieve, peer.LeadershipTransfer{Instance: me.Instance, Fence: fence, TraceParent: me.Tracer.TraceParent(ctx)}, &reply)
+	err := me.Caller.Call(ctx, other.Address, methodRelieve, peer.LeadershipTransfer{
+		Instance: me.Instance, Fence: fence, EndsAtRenewal: endsAtRenewal, TraceParent: me.Tracer.TraceParent(ctx),
+	}, &reply)
 	end(err)
 	me.Log.Info().Str("peer", other.Address).Int64("fence", int64(fence)).AnErr("refusal", err).Msg("leadershipTransferSent")
 }
@@ -253,7 +257,7 @@
 	_, end := se.me.Tracer.Start(se.me.Tracer.WithTraceParent(context.Background(), args.TraceParent), "entry.relieve")
 	defer end(nil)
 	se.me.Log.Info().Str("holder", string(args.Instance)).Int64("fence", int64(args.Fence)).Msg("leadershipTransferReceived")
-	se.candidate.AcceptTransfer(args.Fence)
+	se.candidate.AcceptTransfer(args.Fence, args.EndsAtRenewal)
 	*reply = peer.InstanceReply{Instance: se.me.Instance}
 	return nil
 }
--- a/wagtailcroftd/overseer/overseer.go
+++ b/wagtailcroftd/overseer/overseer.go
@@ -59,8 +59,10 @@
 		Jobs       Jobs
 		Policies   Policies
 		Caller     Caller
-		Tracer     *tracer.Tracer
-		Log        zerolog.Logger
+		// Metrics serves the metrics as text.
+		Metrics http.Handler
+		Tracer  *tracer.Tracer
+		Log     zerolog.Logger
 	}
 
 	// Overseer implements the operator API for step jobs.
@@ -70,7 +72,8 @@
 // New returns an overseer.
 func New(op Options) *Overseer { return &Overseer{op} }
 
-// Handler returns the handler of the operator API and of the metrics under /debug/vars.
+// Handler returns the handler of the operator API and of the metrics, as JSON
+// under /debug/vars and as text under /metrics.
 func (ov *Overseer) Handler() http.Handler {
 	re := replier.New(ov.Log)
 	strict := operator.NewStrictHandlerWithOptions(ov, nil, operator.StrictHTTPServerOptions{
@@ -79,6 +82,7 @@
 	api := operator.HandlerWithOptions(strict, operator.GorillaServerOptions{BaseRouter: mux.NewRouter(), ErrorHandlerFunc: re.BadRequest})
 	router := mux.NewRouter()
 	router.Handle("/debug/vars", expvar.Handler())
+	router.Handle("/metrics", ov.Metrics)
 	router.PathPrefix("/v1/").Handler(ov.Tracer.Handler("entry.operator", api))
 	return router
 }
--- a/wagtailcroftd/participant/fuzz_test.go
+++ b/wagtailcroftd/participant/fuzz_test.go
@@ -66,6 +66,7 @@
 var eventKinds = []string{
 	"submit", "submit", "submit", "submit", "cancel", "kill", "leaderKill", "leaderCut", "stop", "storeDown", "storeBusy", "storeSlow",
 	"storeLosesAnswers", "storeCompact", "lateCommands", "runnerCrash", "runnerCrash", "runnerCut", "runnerReset", "runnerFailing", "runnerRefusing", "runnerDrain", "killAll", "asymmetricCut",
+	"leaderPause", "leaderPauseInGap",
 }
 
 func drawScript(rt *rapid.T) []event {
@@ -94,6 +95,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		script := drawScript(rt)
 		var failed *failure
+		ignoresFences := rapid.Bool().Draw(rt, "ignoresFences")
 		synctest.Test(t, func(*testing.T) {
 			defer func() {
 				if cause := recover(); cause != nil {
@@ -104,7 +106,7 @@
 					failed = &fa
 				}
 			}()
-			runScenarioInBubble(panickingTest{}, fuzzInstances, fuzzRunners, func(ha *harness) { ha.runScript(script) })
+			runScenarioInBubble(panickingTest{}, fuzzInstances, fuzzRunners, ignoresFences, func(ha *harness) { ha.runScript(script) })
 		})
 		if failed != nil {
 			_, _ = fmt.Fprintf(os.Stderr, "%sFAILED: %s\n", scenarioLog.String(), failed.text) // for debugging
@@ -230,6 +232,10 @@
 		name := ha.instances[ha.leaderOr(at)].name
 		ha.cluster.StoreOutage(name, fleet.Unresponsive)
 		time.AfterFunc(ev.HealAfter, func() { ha.cluster.StoreOutage(name, fleet.NoOutage) })
+	case "leaderPause":
+		ha.pause(ha.leaderOr(at), ev.HealAfter, fleet.BeforeCheck)
+	case "leaderPauseInGap":
+		ha.pause(ha.leaderOr(at), ev.HealAfter, fleet.AfterCheck)
 	case "asymmetricCut":
 		// the leader is cut off from the store, and the other instances from one runner
 		former := ha.instances[ha.leaderOr(at)].name
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -70,12 +70,18 @@
 // all instances before it returns, and fails the test if the cluster reports a violation.
 func runScenario(t *testing.T, instances, runners int, fn func(ha *harness)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { runScenarioInBubble(t, instances, runners, fn) })
+	synctest.Test(t, func(t *testing.T) { runScenarioInBubble(t, instances, runners, false, fn) })
 }
 
-func runScenarioInBubble(t asserter.TB, instances, runners int, fn func(ha *harness)) {
+// runUnfencedScenario is like runScenario with workers and machines that check no fencing tokens.
+func runUnfencedScenario(t *testing.T, instances, runners int, fn func(ha *harness)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { runScenarioInBubble(t, instances, runners, true, fn) })
+}
+
+func runScenarioInBubble(t asserter.TB, instances, runners int, ignoresFences bool, fn func(ha *harness)) {
 	ha := &harness{t: t, peers: newPeers(), electionDelays: map[string]clock.Millis{}, cluster: fleet.New(fleet.Options{
-		RunnerCount: runners, RunnersPerRack: 4, MaxLease: leaseTime, DrainTime: 6 * time.Second, GangTimeout: 3 * time.Second,
+		RunnerCount: runners, RunnersPerRack: 4, IgnoresFences: ignoresFences, MaxLease: leaseTime, DrainTime: 6 * time.Second, GangTimeout: 3 * time.Second,
 		Capacity: workload.Resources{CPU: 64000, Memory: 128000, Accelerators: 8},
 	})}
 	ha.config = wire.Config{
@@ -204,6 +210,17 @@
 	ha.kill(at)
 }
 
+// pause stands an instance's process still for d, from the next call on that it sends.
+func (ha *harness) pause(at int, d time.Duration, point fleet.PausePoint) {
+	name := ha.instances[at].name
+	ha.cluster.Pause(name, point)
+	ha.peers.setPaused(name, true)
+	time.AfterFunc(d, func() {
+		ha.peers.setPaused(name, false)
+		ha.cluster.Resume(name)
+	})
+}
+
 // restart starts a stopped instance again.
 func (ha *harness) restart(at int) { ha.instances[at] = ha.startInstance(ha.instances[at].name) }
 
--- a/wagtailcroftd/participant/operators_test.go
+++ b/wagtailcroftd/participant/operators_test.go
@@ -85,6 +85,14 @@
 	pe.listeners[address].keepOpen = true
 }
 
+// setPaused makes the process of an instance accept no connections, or accept them again. Its open
+// connections stay open.
+func (pe *peers) setPaused(address string, paused bool) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.poweredOff[address] = paused
+}
+
 // closeConnections closes every connection between instances; the listeners stay open.
 func (pe *peers) closeConnections() {
 	pe.mu.Lock()
@@ -207,3 +215,19 @@
 		})
 	})
 }
+
+func TestMetricsText(t *testing.T) {
+	runScenario(t, 3, 4, func(ha *harness) {
+		ha.awaitState(0, ha.mustSubmit(0, ha.job(normalPrefix, seconds(1), tasks(2, 1))), "completed", 4*time.Second)
+		in := ha.instances[ha.leader()].pa
+		for name, handler := range map[string]http.Handler{"the address of the metrics": in.MetricsHandler(), "the operators' address": in.OperatorHandler()} {
+			re := httptest.NewRecorder()
+			handler.ServeHTTP(re, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+			for _, line := range []string{`wagtailcroft_ends_total{label="done"} 2`, `wagtailcroft_starts_total{label="taken"} 2`, "wagtailcroft_start_millis_count 2"} {
+				if !strings.Contains(re.Body.String(), line+"\n") {
+					t.Fatalf("%s: the leader's metrics lack the line %q", name, line)
+				}
+			}
+		}
+	})
+}
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -85,7 +85,7 @@
 	pa.follower = follower.New(follower.Source{Key: platform.ConfigKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, de.Clock, de.Log)
 	pa.intake = intake.New(store, pa.follower, de.Clock, de.Log, intake.Options{ConfigKey: platform.ConfigKey, MaxPolicyAge: set.UnconfirmedMillis, Metrics: de.Metrics})
 	deps := controller.Dependencies{
-		Store: store, Workers: instrumenter.NewWorkers(platform.NewWorkers(de.Transport), de.Metrics, de.Tracer), Policies: pa.follower,
+		Store: store, Workers: instrumenter.NewWorkers(platform.NewWorkers(de.Transport, de.Clock), de.Metrics, de.Tracer), Policies: pa.follower,
 		Reports:    controller.Reports{Table: platform.WorkerTable, Decode: platform.DecodeReport},
 		WaveStatus: platform.EncodeWaveStatus, Clock: de.Clock, Metrics: de.Metrics, Log: de.Log,
 	}
@@ -93,7 +93,7 @@
 		deps.Advisers = platform.NewAdvice(set.AdviceAddress, de.Transport)
 	}
 	if set.MachinesAddress != "" {
-		deps.Machines = platform.NewMachines(set.MachinesAddress, de.Transport)
+		deps.Machines = platform.NewMachines(set.MachinesAddress, de.Transport, de.Clock)
 	}
 	pa.dialer = dialer.New(de.Clock, peerTimeout, de.Dial)
 	pa.messenger = messenger.New(messenger.Options{
@@ -106,7 +106,7 @@
 		StopGrace: set.StopGraceMillis, MaintenanceDelay: set.LeadershipLeaseMillis, Retention: set.RetentionMillis,
 	})
 	pa.overseer = overseer.New(overseer.Options{
-		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower,
+		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower, Metrics: de.Metrics,
 		Caller: pa.dialer, Tracer: de.Tracer, Log: de.Log,
 	})
 	return pa
@@ -120,6 +120,13 @@
 // OperatorHandler returns the handler of the operator API and of the metrics.
 func (pa *Participant) OperatorHandler() http.Handler { return pa.overseer.Handler() }
 
+// MetricsHandler returns the handler of the metrics as text.
+func (pa *Participant) MetricsHandler() http.Handler {
+	router := http.NewServeMux()
+	router.Handle("GET "+instrumenter.TextPath, pa.metrics)
+	return router
+}
+
 // ServePeers serves net/rpc calls of other instances until the listener is closed.
 func (pa *Participant) ServePeers(ln net.Listener) error {
 	return dialer.Serve(ln, map[string]any{
