--- a/bench/cmd_days.go
+++ b/bench/cmd_days.go
@@ -16,6 +16,18 @@
 
 const policiesPlot = "policies.svg"
 
+var cmdDays = commander.Command{
+	Name: "days",
+	Help: "Simulate days of step jobs with every policy and write the tables and the plot.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
+		fl := &dayFlags{}
+		cl.Flag("seeds", "Number of days to simulate for each load and policy.").Default("60").IntVar(&fl.seeds)
+		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
+		cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
+		return func() error { return compareDays(fl) }
+	},
+}
+
 type (
 	// dayFlags holds the flags of the days subcommand.
 	dayFlags struct {
@@ -31,18 +43,6 @@
 	}
 )
 
-var cmdDays = commander.Command{
-	Name: "days",
-	Help: "Simulate days of step jobs with every policy and write the tables and the plot.",
-	Bind: func(cl *kingpin.CmdClause) func() error {
-		fl := &dayFlags{}
-		cl.Flag("seeds", "Number of days to simulate for each load and policy.").Default("60").IntVar(&fl.seeds)
-		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
-		cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
-		return func() error { return compareDays(fl) }
-	},
-}
-
 func dayPolicies() []dayPolicy {
 	return []dayPolicy{
 		{"first-fit FIFO", simulator.Greedy{Strict: true}},
--- a/bench/cmd_run.go
+++ b/bench/cmd_run.go
@@ -22,6 +22,18 @@
 	tradeoffPlot     = "tradeoff.svg"
 )
 
+var cmdRun = commander.Command{
+	Name: "run",
+	Help: "Run every load with every policy, measure the cost of decisions, and write the tables and the plot.",
+	Bind: func(cl *kingpin.CmdClause) func() error {
+		fl := &runFlags{}
+		cl.Flag("seed", "Seed of the loads.").Default("1").Uint64Var(&fl.seed)
+		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
+		cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
+		return func() error { return runAll(fl) }
+	},
+}
+
 type (
 	// runPolicy is a policy that the run subcommand compares.
 	runPolicy struct {
@@ -37,18 +49,6 @@
 	}
 )
 
-var cmdRun = commander.Command{
-	Name: "run",
-	Help: "Run every load with every policy, measure the cost of decisions, and write the tables and the plot.",
-	Bind: func(cl *kingpin.CmdClause) func() error {
-		fl := &runFlags{}
-		cl.Flag("seed", "Seed of the loads.").Default("1").Uint64Var(&fl.seed)
-		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
-		cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
-		return func() error { return runAll(fl) }
-	},
-}
-
 func runPolicies() []runPolicy {
 	product := func(pr scheduler.Preset) func(lo generator.Load) replayer.Policy {
 		return func(lo generator.Load) replayer.Policy { return policer.NewScheduler(lo, scheduler.PolicyFor(pr)) }
--- a/bench/journalreader/journalreader.go
+++ b/bench/journalreader/journalreader.go
@@ -11,6 +11,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// wasteLabel is the prefix of the name of the price row for lost work.
+const wasteLabel = "core-seconds of work thrown away"
+
 type (
 	// Entry is one journal entry, which describes one invocation of the benchmark.
 	Entry struct {
@@ -60,9 +63,6 @@
 	}
 )
 
-// wasteLabel is the prefix of the name of the price row for lost work.
-const wasteLabel = "core-seconds of work thrown away"
-
 // Read returns the entries of a folder in chronological order. If an entry cannot be read
 // or parsed, it returns an error that names the file.
 func Read(folder string) ([]Entry, error) {
--- a/bench/reporter/days.go
+++ b/bench/reporter/days.go
@@ -15,15 +15,15 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
-// DayPart is the part of the page that holds the tables of simulated days.
-var DayPart = pager.Section{Begin: "<!-- tables: make days -->", End: "<!-- end of days -->"}
-
 const (
 	barWidth   = 14
 	plotWidth  = 9
 	plotHeight = 4
 )
 
+// DayPart is the part of the page that holds the tables of simulated days.
+var DayPart = pager.Section{Begin: "<!-- tables: make days -->", End: "<!-- end of days -->"}
+
 // DayRow holds the results of one policy on one load, one for each simulated day.
 type DayRow struct {
 	Load    string
--- a/bench/reporter/journal.go
+++ b/bench/reporter/journal.go
@@ -15,9 +15,6 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
-// JournalPart is the part of the page that holds the tables of the journal.
-var JournalPart = pager.Section{Begin: "<!-- tables: make journal-page -->", End: "<!-- end of journal -->"}
-
 const (
 	score = "score"
 	hunt  = "hunt"
@@ -27,6 +24,9 @@
 	maxWhyLength = 90
 )
 
+// JournalPart is the part of the page that holds the tables of the journal.
+var JournalPart = pager.Section{Begin: "<!-- tables: make journal-page -->", End: "<!-- end of journal -->"}
+
 // Journal returns Markdown tables of the scores and of the hunts with their broken rules.
 func Journal(entries []journalreader.Entry) string {
 	var out strings.Builder
--- a/bench/simulator/load.go
+++ b/bench/simulator/load.go
@@ -11,6 +11,12 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
+// Factors by which Scaled multiplies the arrival rate and the width of jobs.
+const (
+	scaledRateFactor  = 3.6
+	scaledWidthFactor = 2
+)
+
 type (
 	// Kind describes a kind of job: its rate of arrival, size, run times and credit.
 	Kind struct {
@@ -152,12 +158,6 @@
 	return lo
 }
 
-// Factors by which Scaled multiplies the arrival rate and the width of jobs.
-const (
-	scaledRateFactor  = 3.6
-	scaledWidthFactor = 2
-)
-
 // Derwent returns a day of heavy load with proofs, re-renders and archive batches.
 func Derwent() Load {
 	return Load{
--- a/bench/simulator/result.go
+++ b/bench/simulator/result.go
@@ -20,10 +20,8 @@
 	// windowLength is the length of the arrival windows. The two worst windows of a day are a
 	// part of its worth.
 	windowLength = 5 * clock.Second
-)
 
-// Weights of the parts of a day's worth.
-const (
+	// Weights of the parts of a day's worth.
 	weightDay       = 0.36
 	weightKind      = 0.2
 	weightZone      = 0.28
--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -5,6 +5,14 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
+const (
+	// suspectPenalty exceeds any other score, so that suspect workers are chosen last.
+	suspectPenalty = 10.0
+
+	// unlimited is the number of tasks per worker of a step without a spread limit.
+	unlimited = 1 << 30
+)
+
 func onRack(slots []*slot, rack identifier.Rack) []*slot {
 	var matching []*slot
 	for _, sl := range slots {
@@ -98,12 +106,6 @@
 	return 1 - position
 }
 
-// suspectPenalty exceeds any other score, so that suspect workers are chosen last.
-const suspectPenalty = 10.0
-
-// unlimited is the number of tasks per worker of a step without a spread limit.
-const unlimited = 1 << 30
-
 // spreadLeft returns how many more tasks of the candidate's stage the worker may run.
 func spreadLeft(ca candidate, sl *slot) int {
 	if ca.step.MaxPerWorker <= 0 {
--- a/decisions/planner/planner_test.go
+++ b/decisions/planner/planner_test.go
@@ -15,8 +15,6 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/seeder"
 )
 
-func TestMain(m *testing.M) { seeder.Main(m) }
-
 const (
 	pool   identifier.Pool  = "pool"
 	urgent identifier.Queue = "urgent"
@@ -26,6 +24,8 @@
 // fixture is a planner input under construction.
 type fixture struct{ planner.Input }
 
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 func newFixture(workers, perRack int) *fixture {
 	fx := &fixture{planner.Input{
 		Now: 100_000,
--- a/decisions/policy/policy.go
+++ b/decisions/policy/policy.go
@@ -71,6 +71,17 @@
 		// its jobs of priority 0.
 		Guaranteed meter.Accelerators
 	}
+
+	// Access describes a call that the policy allows.
+	Access struct {
+		Queue *Queue
+		// Workspace is the caller's workspace; empty for a call without an API key.
+		Workspace identifier.Workspace
+		// Rest is the path after the queue's prefix.
+		Rest string
+		// Version is the version of the configuration that allowed the call.
+		Version meter.RowVersion
+	}
 )
 
 // Index builds the lookup tables. It must be called once, before the policy is shared.
@@ -126,17 +137,6 @@
 	return &po.Queues[i]
 }
 
-// Access describes a call that the policy allows.
-type Access struct {
-	Queue *Queue
-	// Workspace is the caller's workspace; empty for a call without an API key.
-	Workspace identifier.Workspace
-	// Rest is the path after the queue's prefix.
-	Rest string
-	// Version is the version of the configuration that allowed the call.
-	Version meter.RowVersion
-}
-
 // Access authorizes a call and finds its queue. Errors are of the kinds NotFound and
 // BadToken.
 func (po *Policy) Access(host, path, key string) (Access, error) {
--- a/demo/cmd_cost.go
+++ b/demo/cmd_cost.go
@@ -24,20 +24,6 @@
 	costLongRun   = clock.Hour
 )
 
-// costFlags holds the flags of the cost subcommand.
-type costFlags struct {
-	pid      int
-	caller   string
-	operator string
-	token    string
-	workers  int
-	// instances is the number of entry instances of the zone. It is only reported.
-	instances int
-	jobs      int
-	settle    time.Duration
-	length    time.Duration
-}
-
 var cmdCost = commander.Command{
 	Name: "cost",
 	Help: "Measure the control cost of a running instance while a number of long gang jobs run.",
@@ -56,6 +42,20 @@
 	},
 }
 
+// costFlags holds the flags of the cost subcommand.
+type costFlags struct {
+	pid      int
+	caller   string
+	operator string
+	token    string
+	workers  int
+	// instances is the number of entry instances of the zone. It is only reported.
+	instances int
+	jobs      int
+	settle    time.Duration
+	length    time.Duration
+}
+
 func cost(fl *costFlags) error {
 	ctx := context.Background()
 	if fl.jobs > 0 {
--- a/demo/cmd_faults.go
+++ b/demo/cmd_faults.go
@@ -17,15 +17,6 @@
 
 const faultsTimeout = 3 * time.Minute
 
-// faultFlags holds the flags of the faults subcommand.
-type faultFlags struct {
-	instances []string
-	platform  string
-	token     string
-	runners   []string
-	length    time.Duration
-}
-
 var cmdFaults = commander.Command{
 	Name: "faults",
 	Help: "Put load and faults on running instances and check the answers that callers got.",
@@ -40,6 +31,15 @@
 	},
 }
 
+// faultFlags holds the flags of the faults subcommand.
+type faultFlags struct {
+	instances []string
+	platform  string
+	token     string
+	runners   []string
+	length    time.Duration
+}
+
 func runFaults(fl *faultFlags) error {
 	op := injector.Options{PlatformURL: fl.platform, OperatorToken: fl.token, Runners: fl.runners, Length: fl.length}
 	for _, text := range fl.instances {
--- a/demo/launcher/launcher.go
+++ b/demo/launcher/launcher.go
@@ -24,10 +24,12 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/daemon"
 )
 
-// OperatorToken is the bearer token for the operator API of every launched deployment.
-const OperatorToken = "operator-token-of-the-demo"
+const (
+	// OperatorToken is the bearer token for the operator API of every launched deployment.
+	OperatorToken = "operator-token-of-the-demo"
 
-const runnerSlots = 8
+	runnerSlots = 8
+)
 
 type (
 	// Options describe the deployment to launch.
--- a/demo/profiler/table.go
+++ b/demo/profiler/table.go
@@ -10,41 +10,45 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
-// SlopesPart is the part of the page that holds the slopes.
-var SlopesPart = pager.Section{Begin: "<!-- slopes: make slopes -->", End: "<!-- end of slopes -->"}
-
 const (
 	minSamples       = 3   // minimum number of samples for a fitted line
 	defaultInstances = 2   // entry instances of the zone in the series that do not vary them
 	minLargeZone     = 200 // minimum number of workers of the zone in the series that varies the jobs
 )
 
-// costKind is a kind of cost, with its limit for one instance.
-type costKind struct {
-	name  string
-	limit float64
-	cost  func(Sample) float64
-}
+var (
+	// SlopesPart is the part of the page that holds the slopes.
+	SlopesPart = pager.Section{Begin: "<!-- slopes: make slopes -->", End: "<!-- end of slopes -->"}
 
-var costKinds = []costKind{
-	{"processor, % of a core", 2.5, func(sa Sample) float64 { return sa.CPUPercent }},
-	{"resident memory, MB", 64, func(sa Sample) float64 { return sa.Memory }},
-	{"wire, bytes/s", 3 * kilobyte, func(sa Sample) float64 { return sa.BytesPerSecond }},
-}
+	costKinds = []costKind{
+		{"processor, % of a core", 2.5, func(sa Sample) float64 { return sa.CPUPercent }},
+		{"resident memory, MB", 64, func(sa Sample) float64 { return sa.Memory }},
+		{"wire, bytes/s", 3 * kilobyte, func(sa Sample) float64 { return sa.BytesPerSecond }},
+	}
 
-// series is a series of samples in which one of the sizes varies.
-type series struct {
-	name string
-	size func(Sample) float64
-	// includes reports whether a sample belongs to the series.
-	includes func(Sample) bool
-}
+	allSeries = []series{
+		{"worker of the zone, idle", func(sa Sample) float64 { return float64(sa.Workers) }, func(sa Sample) bool { return sa.Jobs == 0 && sa.Instances == defaultInstances }},
+		{"running gang job", func(sa Sample) float64 { return float64(sa.Jobs) }, func(sa Sample) bool { return sa.Workers >= minLargeZone }},
+		{"entry instance of the zone, idle", func(sa Sample) float64 { return float64(sa.Instances) }, func(sa Sample) bool { return sa.Jobs == 0 && sa.Workers < minLargeZone }},
+	}
+)
 
-var allSeries = []series{
-	{"worker of the zone, idle", func(sa Sample) float64 { return float64(sa.Workers) }, func(sa Sample) bool { return sa.Jobs == 0 && sa.Instances == defaultInstances }},
-	{"running gang job", func(sa Sample) float64 { return float64(sa.Jobs) }, func(sa Sample) bool { return sa.Workers >= minLargeZone }},
-	{"entry instance of the zone, idle", func(sa Sample) float64 { return float64(sa.Instances) }, func(sa Sample) bool { return sa.Jobs == 0 && sa.Workers < minLargeZone }},
-}
+type (
+	// costKind is a kind of cost, with its limit for one instance.
+	costKind struct {
+		name  string
+		limit float64
+		cost  func(Sample) float64
+	}
+
+	// series is a series of samples in which one of the sizes varies.
+	series struct {
+		name string
+		size func(Sample) float64
+		// includes reports whether a sample belongs to the series.
+		includes func(Sample) bool
+	}
+)
 
 // Table returns Markdown tables of the samples and of the lines fitted to them.
 func Table(samples []Sample) string {
--- a/shared/logger/logger.go
+++ b/shared/logger/logger.go
@@ -13,6 +13,13 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
+// timeFormat includes milliseconds so that the logs of several instances can be merged in
+// order of time.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// timestampHook adds the wall-clock time to each line.
+type timestampHook struct{}
+
 // New returns a logger for instance in that writes events of the given level and above to w.
 // The settings allow the levels debug, info, warn and error.
 func New(w io.Writer, level string, in identifier.Instance) (zerolog.Logger, error) {
@@ -23,13 +30,6 @@
 	return zerolog.New(newWriter(w)).Level(lv).With().Str("instance", string(in)).Logger().Hook(timestampHook{}), nil
 }
 
-// timeFormat includes milliseconds so that the logs of several instances can be merged in
-// order of time.
-const timeFormat = "2006-01-02T15:04:05.000Z"
-
-// timestampHook adds the wall-clock time to each line.
-type timestampHook struct{}
-
 // Run adds the timestamp field to ev.
 func (timestampHook) Run(ev *zerolog.Event, _ zerolog.Level, _ string) {
 	ev.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
--- a/shared/placer/find.go
+++ b/shared/placer/find.go
@@ -6,8 +6,18 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// capacityFunc returns how many accelerators of a worker a search may use.
-type capacityFunc func(wo *worker) meter.Accelerators
+type (
+	// capacityFunc returns how many accelerators of a worker a search may use.
+	capacityFunc func(wo *worker) meter.Accelerators
+
+	// cost orders candidate blocks: less lost demand first, then less free capacity on the worker,
+	// then less free capacity in the rack.
+	cost struct {
+		lostDemand float64
+		worker     meter.Accelerators
+		rack       meter.Accelerators
+	}
+)
 
 // unreservedCapacity counts accelerators that are free, not set aside by a reservation and not
 // held. Gangs that cannot be preempted are placed on them.
@@ -55,14 +65,6 @@
 	}
 }
 
-// cost orders candidate blocks: less lost demand first, then less free capacity on the worker,
-// then less free capacity in the rack.
-type cost struct {
-	lostDemand float64
-	worker     meter.Accelerators
-	rack       meter.Accelerators
-}
-
 func (co cost) less(other cost) bool {
 	if co.lostDemand != other.lostDemand {
 		return co.lostDemand < other.lostDemand
--- a/shared/problem/kinds.go
+++ b/shared/problem/kinds.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// The kinds of errors. Their names are part of the API and must not change.
+// The kinds of errors, whose names are part of the API and must not change, and the remedies that
+// several kinds share.
 const (
 	BadSettings       Kind = "badSettings"
 	BadBody           Kind = "badBody"
@@ -35,25 +36,11 @@
 	PeerUnavailable   Kind = "peerUnavailable"
 	KeptByPlatform    Kind = "keptByPlatform"
 	Internal          Kind = "internal"
-)
 
-// Remedies shared by several kinds.
-const (
 	remedyTryLater     = "try again after the stated time"
 	remedyCheckRequest = "correct the request and send it again"
 )
 
-type (
-	// Kind is the name of a kind of error.
-	Kind string
-
-	kindInfo struct {
-		title   string
-		remedy  string
-		outcome Outcome
-	}
-)
-
 var kinds = map[Kind]kindInfo{
 	BadSettings:       {"The settings are invalid", "correct the file and run: wagtailcroftd check-settings FILE", NoOutcome},
 	BadBody:           {"The request body is invalid", remedyCheckRequest, NotRun},
@@ -88,6 +75,17 @@
 	Internal:          {"Internal error", "report it with the request id and the log lines from around that time", NoOutcome},
 }
 
+type (
+	// Kind is the name of a kind of error.
+	Kind string
+
+	kindInfo struct {
+		title   string
+		remedy  string
+		outcome Outcome
+	}
+)
+
 // Title returns a short description of the kind.
 func (ki Kind) Title() string { return kinds[ki].title }
 
--- a/shared/scheduler/scheduler_test.go
+++ b/shared/scheduler/scheduler_test.go
@@ -13,8 +13,6 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/seeder"
 )
 
-func TestMain(m *testing.M) { seeder.Main(m) }
-
 const hour = clock.Hour
 
 // testScheduler is a scheduler for a small zone with a simulated clock.
@@ -23,6 +21,8 @@
 	now clock.Millis
 }
 
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 func newTestScheduler(racks, perRack int, pr Preset, gus ...placer.Guarantee) *testScheduler {
 	zo := placer.New(nil)
 	for ra := range racks {
--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -10,17 +10,19 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// maxStartAfterCancel is how long after the acknowledgement of a job's cancellation its
-// tasks may still start.
-const maxStartAfterCancel = 3 * time.Second
+const (
+	// maxStartAfterCancel is how long after the acknowledgement of a job's cancellation its
+	// tasks may still start.
+	maxStartAfterCancel = 3 * time.Second
 
-// maxStartAfterDrain is how long after its report a draining runner may still receive
-// starts.
-const maxStartAfterDrain = 2 * time.Second
+	// maxStartAfterDrain is how long after its report a draining runner may still receive
+	// starts.
+	maxStartAfterDrain = 2 * time.Second
 
-// storeRecoveryTime is how long the store must have been free of faults for
-// maxStartAfterDrain to apply.
-const storeRecoveryTime = 3 * time.Second
+	// storeRecoveryTime is how long the store must have been free of faults for
+	// maxStartAfterDrain to apply.
+	storeRecoveryTime = 3 * time.Second
+)
 
 // oracle checks the rules that a scheduler must keep. It knows what the clients have
 // submitted and what the runners have done, but nothing about the state of the scheduler.
--- a/standin/fleet/services.go
+++ b/standin/fleet/services.go
@@ -17,9 +17,7 @@
 	AdviceAddress = "advice:1"
 	// MachinesAddress is the address of the machine service.
 	MachinesAddress = "machines:1"
-)
 
-const (
 	// decisionTime is the time of a request to the advice service; each worker in the
 	// request adds perWorkerTime.
 	decisionTime  = 40 * time.Millisecond
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -14,6 +14,15 @@
 // controlPaths lists the paths that are exempt from the injected faults.
 var controlPaths = []string{"/v1/faults", "/v1/audit"}
 
+// disruption is the effect of the injected faults on one call.
+type disruption struct {
+	delay clock.Millis
+	// cut means that the connection is closed without a response.
+	cut bool
+	// down means that the store responds with an error.
+	down bool
+}
+
 // SetFaults replaces the injected faults.
 func (pl *Platform) SetFaults(_ context.Context, req platform.SetFaultsRequestObject) (platform.SetFaultsResponseObject, error) {
 	pl.EditFaults(func(fa *platform.Faults) { *fa = *req.Body })
@@ -32,15 +41,6 @@
 	pl.inventory.markDraining(pl.faults.Leaving, pl.clock.Now())
 }
 
-// disruption is the effect of the injected faults on one call.
-type disruption struct {
-	delay clock.Millis
-	// cut means that the connection is closed without a response.
-	cut bool
-	// down means that the store responds with an error.
-	down bool
-}
-
 // injectFaults is a middleware that delays calls, closes their connections or responds with
 // an error, according to the injected faults.
 func (pl *Platform) injectFaults(next http.Handler) http.Handler {
--- a/standin/platform/inventory.go
+++ b/standin/platform/inventory.go
@@ -11,6 +11,11 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
+const (
+	runnerSlots       meter.Slots       = 8
+	runnerConnections meter.Connections = 64
+)
+
 type (
 	// Layout describes the targets of a deployment.
 	Layout struct {
@@ -46,11 +51,6 @@
 	}
 )
 
-const (
-	runnerSlots       meter.Slots       = 8
-	runnerConnections meter.Connections = 64
-)
-
 func newInventory(la Layout) inventory {
 	in := inventory{version: 1}
 	for _, zl := range la.Zones {
--- a/standin/platform/tables.go
+++ b/standin/platform/tables.go
@@ -9,6 +9,8 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
+const compactFactor = 4 // a log that is longer than this multiple of its table is compacted
+
 type (
 	// tableSet is the state of the table service: the rows of all tables, which share one
 	// version counter.
@@ -36,8 +38,6 @@
 	}
 )
 
-const compactFactor = 4 // a log that is longer than this multiple of its table is compacted
-
 func newTableSet() tableSet { return tableSet{tables: map[string]*table{}} }
 
 // Transact applies all writes if all conditions hold, and none otherwise.
--- a/wagtailcroft/cmd_table_set.go
+++ b/wagtailcroft/cmd_table_set.go
@@ -20,17 +20,6 @@
 
 const pollInterval = 200 * clock.Millis(1)
 
-// setFlags holds the flags and arguments of table set.
-type setFlags struct {
-	workspace string
-	cells     []string
-	create    bool
-	dryRun    bool
-	wait      bool
-	timeout   time.Duration
-	expect    int64
-}
-
 var cmdTableSet = command{
 	path: []string{"table", "set"},
 	help: "Change cells of one row; other cells keep their values.",
@@ -47,6 +36,17 @@
 	},
 }
 
+// setFlags holds the flags and arguments of table set.
+type setFlags struct {
+	workspace string
+	cells     []string
+	create    bool
+	dryRun    bool
+	wait      bool
+	timeout   time.Duration
+	expect    int64
+}
+
 func tableSet(en *env, fl *setFlags) error {
 	edit, err := buildEdit(en, fl)
 	if err != nil {
--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -22,6 +22,32 @@
 	requestTimeout = 15 * clock.Second
 )
 
+var (
+	commands = []command{
+		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
+		cmdJobsList, cmdJobsShow, cmdJobsCancel,
+		cmdTargetsList, cmdTargetsDrain,
+		cmdWorkersList, cmdWorkspacesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+	}
+
+	groups = map[string]string{
+		"table":      "The shared table: one row for each workspace.",
+		"jobs":       "Jobs of all workspaces.",
+		"targets":    "Runners and workers.",
+		"workers":    "Workers.",
+		"workspaces": "Guaranteed and borrowed accelerators of workspaces.",
+		"instances":  "Entry instances.",
+	}
+
+	cmdVersion = command{
+		path: []string{"version"},
+		help: "Print the version.",
+		bind: func(*kingpin.CmdClause) func(*env) error {
+			return func(en *env) error { return en.printer.PrintLine(version.Text()) }
+		},
+	}
+)
+
 type (
 	// command defines one subcommand.
 	command struct {
@@ -49,24 +75,6 @@
 	}
 )
 
-var (
-	commands = []command{
-		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
-		cmdJobsList, cmdJobsShow, cmdJobsCancel,
-		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdWorkspacesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
-	}
-
-	groups = map[string]string{
-		"table":      "The shared table: one row for each workspace.",
-		"jobs":       "Jobs of all workspaces.",
-		"targets":    "Runners and workers.",
-		"workers":    "Workers.",
-		"workspaces": "Guaranteed and borrowed accelerators of workspaces.",
-		"instances":  "Entry instances.",
-	}
-)
-
 // run executes one command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
 	op := &options{}
@@ -133,14 +141,6 @@
 	}
 }
 
-var cmdVersion = command{
-	path: []string{"version"},
-	help: "Print the version.",
-	bind: func(*kingpin.CmdClause) func(*env) error {
-		return func(en *env) error { return en.printer.PrintLine(version.Text()) }
-	},
-}
-
 // author returns the name that the history records for a change.
 func author() string {
 	if name := os.Getenv("WAGTAILCROFT_AUTHOR"); name != "" {
--- a/wagtailcroft/parser/parser.go
+++ b/wagtailcroft/parser/parser.go
@@ -15,14 +15,6 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// cell parses and formats one cell.
-type cell struct {
-	name string
-	set  func(ce *types.Cells, value string) error
-	// get is nil for a cell that can only be set.
-	get func(ce types.Cells) string
-}
-
 var cells = []cell{
 	numberCell("weight", func(ce *types.Cells) *meter.Weight { return &ce.Weight }),
 	{
@@ -60,6 +52,14 @@
 	},
 }
 
+// cell parses and formats one cell.
+type cell struct {
+	name string
+	set  func(ce *types.Cells, value string) error
+	// get is nil for a cell that can only be set.
+	get func(ce types.Cells) string
+}
+
 // numberCell returns the cell of an integer field.
 func numberCell[N ~int32](name string, field func(*types.Cells) *N) cell {
 	return cell{
--- a/wagtailcroftd/callerserver/callerserver.go
+++ b/wagtailcroftd/callerserver/callerserver.go
@@ -26,6 +26,8 @@
 
 const maxWait = 60 * clock.Second
 
+var bodyChecker = checker.New(problem.BadBody, "json")
+
 type (
 	// Options holds the dependencies of a Server.
 	Options struct {
@@ -65,8 +67,6 @@
 	workspaceKey struct{}
 )
 
-var bodyChecker = checker.New(problem.BadBody, "json")
-
 // New returns the handler of the caller API.
 func New(op Options) http.Handler {
 	se := &Server{Options: op}
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -36,12 +36,6 @@
 	gcPercent = 50
 )
 
-// endpoint is an address and what is served there.
-type endpoint struct {
-	address string
-	handler http.Handler
-}
-
 var cmdSchedule = commander.Command{
 	Name: "schedule",
 	Help: "Schedule step jobs on the platform until SIGTERM or SIGINT.",
@@ -55,6 +49,12 @@
 	},
 }
 
+// endpoint is an address and what is served there.
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
 func schedule(path string, metricsPort uint16, trace settings.Trace) error {
 	set, err := platform.LoadSettings(path)
 	if err != nil {
--- a/wagtailcroftd/configurer/edit.go
+++ b/wagtailcroftd/configurer/edit.go
@@ -16,6 +16,8 @@
 
 const maxRows = 1024 // workspaces in the table
 
+var cellRules = checker.New(problem.BadRow, "json")
+
 type (
 	// Edit is an operator's request to create or change the row of a workspace.
 	Edit struct {
@@ -40,8 +42,6 @@
 	}
 )
 
-var cellRules = checker.New(problem.BadRow, "json")
-
 // Plan checks an edit against the newest table and describes what it would do. Errors are of the kinds
 // BadRow, StaleRow, GuaranteeTooLarge and StoreUnavailable.
 func (co *Configurer) Plan(ctx context.Context, ed Edit) (Plan, error) {
--- a/wagtailcroftd/controller/maintenance.go
+++ b/wagtailcroftd/controller/maintenance.go
@@ -7,6 +7,9 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/maintainer"
 )
 
+// startupDone is the progress that a long-running task reports after its startup.
+const startupDone = 100
+
 // drainer drains workers for the maintenance of their machines.
 type drainer struct{ te *term }
 
@@ -74,6 +77,3 @@
 	}
 	return unavailable < max(step.MaxUnavailable, 1)
 }
-
-// startupDone is the progress that a long-running task reports after its startup.
-const startupDone = 100
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -120,6 +120,10 @@
 		// learnedAt is when this leader learned of the job.
 		learnedAt clock.Millis
 	}
+
+	submissionHandler struct{ te *term }
+	cancelHandler     struct{ te *term }
+	reportHandler     struct{ te *term }
 )
 
 func newTerm(co *Controller, el *elector.Elector) *term {
@@ -222,12 +226,6 @@
 	te.cancel()
 }
 
-type (
-	submissionHandler struct{ te *term }
-	cancelHandler     struct{ te *term }
-	reportHandler     struct{ te *term }
-)
-
 // Snapshot adds all submissions that are not known yet, and marks the jobs as loaded.
 func (ha submissionHandler) Snapshot(rows []rowstore.Row) {
 	ha.Changed(rows)
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -17,6 +17,25 @@
 	// maxUnconfirmed is how long a leader that cannot confirm its leadership keeps extending
 	// leases. It exceeds the longest known outage of the store, which is 9 s.
 	maxUnconfirmed = 12 * clock.Second
+
+	// quarantineAfterJobs is how many different jobs must fail in a row on a worker before the
+	// failures are attributed to the worker rather than to the jobs.
+	quarantineAfterJobs = 2
+	// quarantineAfterRuns is how many runs must fail in a row if they belong to one job that
+	// has not failed on any other worker.
+	quarantineAfterRuns = 3
+	// firstQuarantine is how long such a worker gets no new work the first time; the time
+	// doubles with each further quarantine.
+	firstQuarantine = 6 * clock.Second
+	// suspectPeriod is how long a worker is the last choice after a run failed there, so that
+	// the task is retried elsewhere: about two runs of the shortest tasks.
+	suspectPeriod = 5 * clock.Second
+	// maxQuarantine bounds the time for which such a worker gets no new work.
+	maxQuarantine = 60 * clock.Second
+
+	// refusalBlock is how long a worker gets no new work after it refused a start or the maintenance
+	// of its machine began.
+	refusalBlock = 2 * clock.Second
 )
 
 type (
@@ -306,23 +325,6 @@
 	}
 }
 
-const (
-	// quarantineAfterJobs is how many different jobs must fail in a row on a worker before the
-	// failures are attributed to the worker rather than to the jobs.
-	quarantineAfterJobs = 2
-	// quarantineAfterRuns is how many runs must fail in a row if they belong to one job that
-	// has not failed on any other worker.
-	quarantineAfterRuns = 3
-	// firstQuarantine is how long such a worker gets no new work the first time; the time
-	// doubles with each further quarantine.
-	firstQuarantine = 6 * clock.Second
-	// suspectPeriod is how long a worker is the last choice after a run failed there, so that
-	// the task is retried elsewhere: about two runs of the shortest tasks.
-	suspectPeriod = 5 * clock.Second
-	// maxQuarantine bounds the time for which such a worker gets no new work.
-	maxQuarantine = 60 * clock.Second
-)
-
 // trackFailures updates the failure streak of a worker after a completion, and quarantines the
 // worker when the streak is long enough.
 func (te *term) trackFailures(wo *worker, job identifier.Job, outcome workload.RunOutcome) {
@@ -359,7 +361,3 @@
 	wo.blockedUntil = max(wo.blockedUntil, te.Clock.Now()+refusalBlock)
 	te.log.Warn().Str("worker", string(wo.id)).Err(why).Msg("workerRefused")
 }
-
-// refusalBlock is how long a worker gets no new work after it refused a start or the maintenance
-// of its machine began.
-const refusalBlock = 2 * clock.Second
--- a/wagtailcroftd/daemon/gangs_test.go
+++ b/wagtailcroftd/daemon/gangs_test.go
@@ -24,6 +24,9 @@
 	longWork  = `{"runMillis":600000}`
 )
 
+// staleGrant makes an executor act as if it still held the scheduler lease.
+type staleGrant struct{ grant leaser.Grant }
+
 // assertResult checks that the result of a job has one part per member.
 func (ha *harness) assertResult(id identifier.Job, ws identifier.Workspace, members int) {
 	ha.t.Helper()
@@ -137,9 +140,6 @@
 	}
 }
 
-// staleGrant makes an executor act as if it still held the scheduler lease.
-type staleGrant struct{ grant leaser.Grant }
-
 func (sg staleGrant) SchedulerGrant() (leaser.Grant, bool) { return sg.grant, true }
 
 func TestPausedSchedulerIsFenced(t *testing.T) {
--- a/wagtailcroftd/daemon/harness_test.go
+++ b/wagtailcroftd/daemon/harness_test.go
@@ -38,27 +38,62 @@
 
 	kochi    = identifier.Zone("kochi")
 	thrissur = identifier.Zone("thrissur")
+
+	// fuzzChecks is the number of rapid checks in a normal run. It keeps the package within two
+	// minutes under the race detector and the lock-order check; make fuzz runs many more.
+	fuzzChecks = "20"
 )
 
-// fuzzChecks is the number of rapid checks in a normal run. It keeps the package within two
-// minutes under the race detector and the lock-order check; make fuzz runs many more.
-const fuzzChecks = "20"
+var _ heartbeater.Dialer = &fakePeers{}
 
-func TestMain(m *testing.M) { seeder.MainWith(m, fuzzChecks) }
+type (
+	// harness runs entry instances against a simulated platform, with a fake clock.
+	harness struct {
+		t        asserter.TB
+		clock    *clock.Fake
+		platform *platform.Platform
+		handler  http.Handler
+		runners  *fakeRunners
+		peers    *fakePeers
+		daemons  []*daemon.Daemon
+		doers    []*directDoer
+		// paused instances do not run and do not answer their peers.
+		paused map[int]bool
+	}
 
-// harness runs entry instances against a simulated platform, with a fake clock.
-type harness struct {
-	t        asserter.TB
-	clock    *clock.Fake
-	platform *platform.Platform
-	handler  http.Handler
-	runners  *fakeRunners
-	peers    *fakePeers
-	daemons  []*daemon.Daemon
-	doers    []*directDoer
-	// paused instances do not run and do not answer their peers.
-	paused map[int]bool
-}
+	// directDoer calls an HTTP handler directly. A handler that panics to abort the connection
+	// gives no answer.
+	directDoer struct {
+		handler http.Handler
+		// callsLeft is the number of calls until the instance is cut off; negative means never.
+		callsLeft int
+		// beforeTransact, if set, is called once before the next transaction is sent.
+		beforeTransact func()
+	}
+
+	// fakePeers forwards calls between instances and can be cut off.
+	fakePeers struct {
+		harness  *harness
+		services map[string]int
+		cut      bool
+	}
+
+	// fakeRunners answers requests immediately and counts them.
+	fakeRunners struct {
+		mu sync.Mutex
+		// calls counts the runs by key, and byAddress by runner address.
+		calls     map[identifier.Key]int
+		byAddress map[string]int
+		// during, if set, is called once while the next request runs.
+		during func(rr dispatcher.RunnerRequest)
+		// answersToLose is the number of runs whose answer is lost after the work, and
+		// callsToRefuse the number of calls refused before it.
+		answersToLose int
+		callsToRefuse int
+	}
+)
+
+func TestMain(m *testing.M) { seeder.MainWith(m, fuzzChecks) }
 
 // newHarness starts instances in a zone of two racks with two workers each. A second zone
 // has no instance yet.
@@ -234,16 +269,6 @@
 	})
 }
 
-// directDoer calls an HTTP handler directly. A handler that panics to abort the connection
-// gives no answer.
-type directDoer struct {
-	handler http.Handler
-	// callsLeft is the number of calls until the instance is cut off; negative means never.
-	callsLeft int
-	// beforeTransact, if set, is called once before the next transaction is sent.
-	beforeTransact func()
-}
-
 func (dd *directDoer) Do(req *http.Request) (answer *http.Response, err error) {
 	if err := req.Context().Err(); err != nil {
 		return nil, err
@@ -266,13 +291,6 @@
 	return recorder.Result(), nil
 }
 
-// fakePeers forwards calls between instances and can be cut off.
-type fakePeers struct {
-	harness  *harness
-	services map[string]int
-	cut      bool
-}
-
 func (fp *fakePeers) Call(_ context.Context, address, method string, args, reply any) error {
 	number, known := fp.services[address]
 	if !known || fp.cut || fp.harness.paused[number] {
@@ -291,22 +309,6 @@
 	}
 }
 
-var _ heartbeater.Dialer = &fakePeers{}
-
-// fakeRunners answers requests immediately and counts them.
-type fakeRunners struct {
-	mu sync.Mutex
-	// calls counts the runs by key, and byAddress by runner address.
-	calls     map[identifier.Key]int
-	byAddress map[string]int
-	// during, if set, is called once while the next request runs.
-	during func(rr dispatcher.RunnerRequest)
-	// answersToLose is the number of runs whose answer is lost after the work, and
-	// callsToRefuse the number of calls refused before it.
-	answersToLose int
-	callsToRefuse int
-}
-
 func newFakeRunners() *fakeRunners {
 	return &fakeRunners{calls: map[identifier.Key]int{}, byAddress: map[string]int{}}
 }
--- a/wagtailcroftd/participant/fuzz_test.go
+++ b/wagtailcroftd/participant/fuzz_test.go
@@ -23,7 +23,11 @@
 	healTime = 90 * time.Second
 )
 
-func TestMain(m *testing.M) { seeder.MainWith(m, "60") }
+var eventKinds = []string{
+	"submit", "submit", "submit", "submit", "cancel", "kill", "leaderKill", "leaderCut", "stop", "storeDown", "storeBusy", "storeSlow",
+	"storeLosesAnswers", "storeCompact", "lateCommands", "runnerCrash", "runnerCrash", "runnerCut", "runnerReset", "runnerFailing", "runnerRefusing", "runnerDrain", "killAll", "asymmetricCut",
+	"leaderPause", "leaderPauseInGap",
+}
 
 type (
 	// event is one event of a script, which happens after a pause.
@@ -58,17 +62,13 @@
 	panickingTest struct{}
 )
 
+func TestMain(m *testing.M) { seeder.MainWith(m, "60") }
+
 func (panickingTest) Helper() {}
 
 // Fatalf ends the scenario.
 func (panickingTest) Fatalf(format string, args ...any) { panic(failure{fmt.Sprintf(format, args...)}) }
 
-var eventKinds = []string{
-	"submit", "submit", "submit", "submit", "cancel", "kill", "leaderKill", "leaderCut", "stop", "storeDown", "storeBusy", "storeSlow",
-	"storeLosesAnswers", "storeCompact", "lateCommands", "runnerCrash", "runnerCrash", "runnerCut", "runnerReset", "runnerFailing", "runnerRefusing", "runnerDrain", "killAll", "asymmetricCut",
-	"leaderPause", "leaderPauseInGap",
-}
-
 func drawScript(rt *rapid.T) []event {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) event {
 		return event{
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -43,6 +43,10 @@
 	takeoverTimeout = 2250 * time.Millisecond
 )
 
+// scenarioLog collects the log of the instances of the current scenario if the environment
+// variable SCENE_LOG is set.
+var scenarioLog syncBuffer
+
 type (
 	// harness runs instances against a simulated cluster in a testing/synctest bubble.
 	harness struct {
@@ -64,6 +68,12 @@
 		stop   chan struct{}
 		ended  chan struct{}
 	}
+
+	// syncBuffer is a buffer that is safe for concurrent use.
+	syncBuffer struct {
+		mu      sync.Mutex
+		content bytes.Buffer
+	}
 )
 
 // runScenario runs fn on a harness with the given number of instances and workers. It stops
@@ -149,16 +159,6 @@
 	return in
 }
 
-// scenarioLog collects the log of the instances of the current scenario if the environment
-// variable SCENE_LOG is set.
-var scenarioLog syncBuffer
-
-// syncBuffer is a buffer that is safe for concurrent use.
-type syncBuffer struct {
-	mu      sync.Mutex
-	content bytes.Buffer
-}
-
 // Write appends a line.
 func (sb *syncBuffer) Write(line []byte) (int, error) {
 	sb.mu.Lock()
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -28,16 +28,18 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/overseer"
 )
 
-// drainFraction is the fraction of the grace period during which a stopping instance still
-// serves calls, for clients that have not noticed yet that it is stopping.
-const drainFraction = 0.5
+const (
+	// drainFraction is the fraction of the grace period during which a stopping instance still
+	// serves calls, for clients that have not noticed yet that it is stopping.
+	drainFraction = 0.5
 
-// peerTimeout is the timeout of a call to another instance. It covers a round trip between regions
-// of 8 ms each way and the transfer of all jobs and workers.
-const peerTimeout = 2 * clock.Second
+	// peerTimeout is the timeout of a call to another instance. It covers a round trip between regions
+	// of 8 ms each way and the transfer of all jobs and workers.
+	peerTimeout = 2 * clock.Second
 
-// counterLogPeriod is the time between two log lines with the counters.
-const counterLogPeriod = 10 * clock.Second
+	// counterLogPeriod is the time between two log lines with the counters.
+	counterLogPeriod = 10 * clock.Second
+)
 
 type (
 	// Clock is a clock.Clock that also returns the time of day.
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -26,22 +26,24 @@
 	Cancels       rowstore.Table = "cancels"
 	PendingCounts rowstore.Table = "tallies"
 	Waves         rowstore.Table = "waves"
+
+	bitsPerByte = 8
 )
 
-const bitsPerByte = 8
+var (
+	// LeadershipKey is the key of the leader row.
+	LeadershipKey = rowstore.Key{Table: Leadership, Name: "scheduler"}
 
-// LeadershipKey is the key of the leader row.
-var LeadershipKey = rowstore.Key{Table: Leadership, Name: "scheduler"}
+	// PendingCountsKey is the key of the row of the pending-job counts. A job is pending until its
+	// first task has started.
+	PendingCountsKey = rowstore.Key{Table: PendingCounts, Name: "pending"}
+)
 
 // MemberKey returns the key of the row of an instance.
 func MemberKey(in identifier.Instance) rowstore.Key {
 	return rowstore.Key{Table: Members, Name: string(in)}
 }
 
-// PendingCountsKey is the key of the row of the pending-job counts. A job is pending until its
-// first task has started.
-var PendingCountsKey = rowstore.Key{Table: PendingCounts, Name: "pending"}
-
 // JobKey returns the key of a job's row in a table.
 func JobKey(ta rowstore.Table, id identifier.Job) rowstore.Key {
 	return rowstore.Key{Table: ta, Name: string(id)}
--- a/wagtailcroftd/tailer/tailer_test.go
+++ b/wagtailcroftd/tailer/tailer_test.go
@@ -15,15 +15,20 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
 
-// store is a fake store. Read returns all rows; Watch returns the queued errors and changes, and
-// then waits for the requested time and returns no changes.
-type store struct {
-	rows           []rowstore.Row
-	version        meter.RowVersion
-	changes        []rowstore.Page
-	compacted      int
-	reads, watches int
-}
+type (
+	// store is a fake store. Read returns all rows; Watch returns the queued errors and changes, and
+	// then waits for the requested time and returns no changes.
+	store struct {
+		rows           []rowstore.Row
+		version        meter.RowVersion
+		changes        []rowstore.Page
+		compacted      int
+		reads, watches int
+	}
+
+	// handler counts the rows and changes that it receives.
+	handler struct{ snapshot, changed int }
+)
 
 func (st *store) Read(context.Context, rowstore.Table, string, string, int) (rowstore.Page, error) {
 	st.reads++
@@ -50,12 +55,11 @@
 
 func (st *store) CloseIdleConnections() {}
 
-// handler counts the rows and changes that it receives.
-type handler struct{ snapshot, changed int }
-
 func (ha *handler) Snapshot(rows []rowstore.Row) { ha.snapshot += len(rows) }
-func (ha *handler) Changed(rows []rowstore.Row)  { ha.changed += len(rows) }
-func (ha *handler) ConfirmedAt(clock.Millis)     {}
+
+func (ha *handler) Changed(rows []rowstore.Row) { ha.changed += len(rows) }
+
+func (ha *handler) ConfirmedAt(clock.Millis) {}
 
 // follow runs a tailer for 10 s.
 func follow(t *testing.T, st *store) *handler {
