--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -201,7 +201,8 @@
 	return pw
 }
 
-// logLoad logs, at most once per interval, the waiting tasks and the free capacity.
+// logLoad logs, at most once per interval, the waiting tasks and the free capacity. Tasks that wait
+// for an earlier step of their job are counted apart, because no capacity would start them.
 func (te *term) logLoad(in planner.Input, pl planner.Plan, now clock.Millis) {
 	if now-te.loadLoggedAt < loadLogInterval {
 		return
@@ -215,7 +216,7 @@
 			free = free.Add(wo.Capacity)
 		}
 	}
-	waiting, held := 0, 0
+	waiting, blocked, held := 0, 0, 0
 	var wanted meter.Accelerators
 	for _, jo := range in.Jobs {
 		for _, st := range jo.Stages {
@@ -224,14 +225,17 @@
 				case st.Tasks[i].Held():
 					held++
 					free = free.Sub(jo.StepOf(st).Reserved())
-				case st.Tasks[i].Phase == workload.Waiting && !jo.State.Final():
+				case st.Tasks[i].Phase != workload.Waiting || jo.State.Final():
+				case !jo.Ready(st):
+					blocked++
+				default:
 					waiting++
 					wanted += jo.StepOf(st).Request.Accelerators
 				}
 			}
 		}
 	}
-	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int64("wanted", int64(wanted)).Int("held", held).
+	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int("blocked", blocked).Int64("wanted", int64(wanted)).Int("held", held).
 		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
 		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
