Let renewals follow the fleet instead of a fixed number of polls

Cause: pollWorkers was 256 and a poll waits up to 2 s for a completion, so that 1,100 busy workers were renewed every 8.6 s under leases of 6 s.

Change: the number of polls in progress follows from descriptors and memory of the machine; the pool starts goroutines as needed; the wait shrinks when polls take turns; a poll is built when its turn has come; an answer without news dispatches to that worker only.

--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -30,6 +30,9 @@
 	// MachinesAddress Address of the service that moves and maintains machines; empty means none.
 	MachinesAddress string `json:"machinesAddress,omitempty" toml:"machinesAddress" validate:"omitempty,hostname_port"`
 
+	// MaxPolls How many workers the leader may poll at the same time; each takes a connection and about 32 KiB.
+	MaxPolls int `json:"maxPolls" toml:"maxPolls" validate:"min=16"`
+
 	// MemoryLimit Memory available to the process, in bytes.
 	MemoryLimit externalRef0.Bytes `json:"memoryLimit" toml:"memoryLimit" validate:"min=33554432"`
 
--- a/shared/pool/pool.go
+++ b/shared/pool/pool.go
@@ -1,4 +1,4 @@
-// Package pool runs functions on a fixed number of goroutines with bounded queues.
+// Package pool runs functions on a bounded number of goroutines with bounded queues.
 package pool
 
 import (
@@ -16,31 +16,32 @@
 	ErrClosed = eris.New("the instance is shutting down; send the request to another instance")
 )
 
-// Pool is a fixed set of worker goroutines with two bounded queues. Workers take functions
-// from the urgent queue before those from the normal queue.
+// Pool is a bounded set of worker goroutines with two bounded queues. Workers are started as they
+// are needed, and take functions from the urgent queue before those from the normal queue.
 type Pool struct {
 	urgent  chan func()
 	normal  chan func()
 	done    chan struct{}
 	workers sync.WaitGroup
 	mu      locker.Mutex
-	// closed is guarded by mu. It is set by Close and never reset.
+	// closed is guarded by mu, as are the fields below. It is set by Close and never reset.
 	closed bool
+	// started is the number of workers; it never exceeds limit.
+	started, limit int
+	// unfinished is the number of functions that were accepted and have not returned.
+	unfinished int
 }
 
-// New starts a pool with the given number of worker goroutines and two queues of the given
-// capacity each.
+// New returns a pool with at most the given number of worker goroutines and two queues of the
+// given capacity each.
 func New(workers, capacity int) *Pool {
-	po := &Pool{
+	return &Pool{
 		urgent: make(chan func(), capacity),
 		normal: make(chan func(), capacity),
 		done:   make(chan struct{}),
 		mu:     locker.New(locker.RankPool),
+		limit:  workers,
 	}
-	for range workers {
-		po.workers.Go(po.work)
-	}
-	return po
 }
 
 // Submit enqueues fn without blocking. It returns ErrFull if the queue is full and ErrClosed if
@@ -57,10 +58,15 @@
 	}
 	select {
 	case queue <- fn:
-		return nil
 	default:
 		return ErrFull
 	}
+	po.unfinished++
+	if po.unfinished > po.started && po.started < po.limit {
+		po.started++
+		po.workers.Go(po.work)
+	}
+	return nil
 }
 
 // Close rejects new functions, runs the queued ones and waits for the workers to exit.
@@ -81,6 +87,9 @@
 			return
 		}
 		fn()
+		po.mu.Lock()
+		po.unfinished--
+		po.mu.Unlock()
 	}
 }
 
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -24,18 +24,29 @@
 // dispatch starts the polls and sends the commands that are due. It is called with mu held.
 func (te *term) dispatch() {
 	now := te.Clock.Now()
+	te.busyWorkers = 0
 	for _, wo := range te.workers {
-		te.schedulePoll(wo, now)
-		if !wo.contacted && len(wo.runs) == 0 {
-			continue
+		if wo.busy() {
+			te.busyWorkers++
 		}
-		for key, pl := range wo.runs {
-			te.sendDueCommand(wo, key, pl, now)
-		}
-		for key, pl := range wo.orphans {
-			if pl.due(now) && pl.stoppedAt == 0 {
-				te.submitStop(wo, key, pl)
-			}
+	}
+	for _, wo := range te.workers {
+		te.dispatchTo(wo, now)
+	}
+}
+
+// dispatchTo starts the poll of one worker and sends its commands, as far as they are due.
+func (te *term) dispatchTo(wo *worker, now clock.Millis) {
+	te.schedulePoll(wo, now)
+	if !wo.contacted && len(wo.runs) == 0 {
+		return
+	}
+	for key, pl := range wo.runs {
+		te.sendDueCommand(wo, key, pl, now)
+	}
+	for key, pl := range wo.orphans {
+		if pl.due(now) && pl.stoppedAt == 0 {
+			te.submitStop(wo, key, pl)
 		}
 	}
 }
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -104,6 +104,9 @@
 		StopGrace clock.Millis
 		// MaintenanceDelay is how long a new leader waits before it sends commands to machines.
 		MaintenanceDelay clock.Millis
+		// MaxPolls is how many workers may be polled at the same time. A poll holds a connection
+		// and a goroutine while the worker waits for a completion.
+		MaxPolls int
 		// Retention is how long ended jobs are kept.
 		Retention clock.Millis
 	}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -27,51 +27,83 @@
 // schedulePoll starts a poll if one is due: to contact the worker, renew leases, receive
 // completions, or acknowledge the completions that are recorded.
 func (te *term) schedulePoll(wo *worker, now clock.Millis) {
-	if wo.polling || now < wo.pollAfter || wo.report.Address == "" || !te.loaded || now-te.confirmedAt > maxUnconfirmed {
+	if _, due := te.pollCommand(wo, now); !due || wo.polling {
 		return
 	}
-	busy := len(wo.runs)+len(wo.orphans) > 0
+	urgent := !wo.contacted || wo.busy() && wo.leaseEnd-wo.estimatedClock(now) < te.op.LeaseDuration/2
+	wo.polling = true
+	if err := te.polls.Submit(urgent, func() { te.poll(wo) }); err != nil {
+		wo.polling = false
+		wo.pollAfter = now + commandRetryPause
+		te.log.Warn().Err(err).Str("worker", string(wo.id)).Msg("pollDelayed")
+	}
+}
+
+// busy reports whether the worker has runs.
+func (wo *worker) busy() bool { return len(wo.runs)+len(wo.orphans) > 0 }
+
+// pollCommand returns the poll that a worker needs now, without a lease. The result is false if it
+// needs none.
+func (te *term) pollCommand(wo *worker, now clock.Millis) (fleet.PollCommand, bool) {
 	co := fleet.PollCommand{Fence: te.fence}
+	if now < wo.pollAfter || wo.report.Address == "" || !te.loaded || now-te.confirmedAt > maxUnconfirmed {
+		return co, false
+	}
+	busy := wo.busy()
 	switch {
 	case (!wo.contacted || wo.failures > 0) && (wo.listed || busy):
 		// A worker must answer before it gets work, both at first contact and after a failure.
 	case wo.applied > wo.recorded:
 		// The worker would report the unrecorded completions again at once, so it is polled only
 		// as often as its leases must be renewed.
-		if now-wo.polledAt < te.op.LeaseDuration/renewalsPerLease {
-			return
-		}
+		return co, now-wo.polledAt >= te.op.LeaseDuration/renewalsPerLease
 	case wo.recorded > wo.acknowledged && now-wo.identifiedAt > identityValidity:
 		// The worker may have restarted since it was last identified, and a new incarnation uses
 		// the same completion numbers again. So the poll carries no acknowledgement; its answer
 		// identifies the incarnation.
 	case wo.recorded > wo.acknowledged:
-		co.Acknowledged, co.Wait = wo.recorded, pollWait
+		co.Acknowledged, co.Wait = wo.recorded, te.pollWait()
 		if !busy {
 			co.Wait = 0
 		}
 	case wo.mixedLoad:
-		co.Wait = throttleInterval
+		co.Wait = min(throttleInterval, te.pollWait())
 	case busy:
-		co.Wait = pollWait
+		co.Wait = te.pollWait()
 	case wo.recorded == wo.acknowledged:
+		return co, false
+	}
+	return co, true
+}
+
+// pollWait returns how long a worker may wait for a completion before it answers. When more workers
+// are busy than may be polled at the same time, polls take turns, and each worker's turn must come
+// renewalsPerLease times within a lease.
+func (te *term) pollWait() clock.Millis {
+	if te.busyWorkers <= te.op.MaxPolls {
+		return pollWait
+	}
+	turn := te.op.LeaseDuration / renewalsPerLease
+	return min(pollWait, turn*clock.Millis(te.op.MaxPolls)/clock.Millis(te.busyWorkers))
+}
+
+// poll sends the poll that a worker needs when its turn has come, which may be some time after it was
+// submitted.
+func (te *term) poll(wo *worker) {
+	te.mu.Lock()
+	sent := te.Clock.Now()
+	co, due := te.pollCommand(wo, sent)
+	if !due {
+		wo.polling = false
+		te.mu.Unlock()
 		return
 	}
-	if busy && wo.contacted {
-		co.LeaseEnd = te.leaseEnd(wo, now)
+	if wo.busy() && wo.contacted {
+		co.LeaseEnd = te.leaseEnd(wo, sent)
 	}
-	wo.polling = true
 	to := wo.target(te.keepBy())
-	if err := te.polls.Submit(!wo.contacted, func() { te.poll(wo, to, co) }); err != nil {
-		wo.polling = false
-		wo.pollAfter = now + commandRetryPause
-		te.log.Warn().Err(err).Str("worker", string(wo.id)).Msg("pollDelayed")
-	}
-}
-
-func (te *term) poll(wo *worker, to fleet.Target, co fleet.PollCommand) {
+	te.mu.Unlock()
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, co.Wait+pollSlack)
-	sent := te.Clock.Now()
 	st, err := te.Workers.Poll(ctx, to, co)
 	cancel()
 	te.mu.Lock()
@@ -85,16 +117,21 @@
 		wo.pollAfter = now + firstPollPause
 		return
 	}
-	defer te.trigger()
 	if err != nil {
 		te.pollFailed(wo, to, err, now)
+		te.trigger()
 		return
 	}
+	news := !wo.contacted || wo.failures > 0 || len(st.Completed) > 0
 	if wo.failures > 0 {
 		te.log.Info().Str("worker", string(wo.id)).Int("failures", wo.failures).Msg("workerRecovered")
 	}
 	wo.failures = 0
-	te.applyStatus(wo, st, co, sent, now)
+	if te.applyStatus(wo, st, co, sent, now) || news {
+		te.trigger()
+		return
+	}
+	te.dispatchTo(wo, now) // nothing to plan
 }
 
 func (te *term) pollFailed(wo *worker, to fleet.Target, err error, now clock.Millis) {
@@ -108,8 +145,10 @@
 	}
 }
 
-// applyStatus compares the status of a worker with the jobs.
-func (te *term) applyStatus(wo *worker, st fleet.Status, co fleet.PollCommand, sent, now clock.Millis) {
+// applyStatus compares the status of a worker with the jobs. It reports whether the number of runs or
+// the worker's incarnation has changed.
+func (te *term) applyStatus(wo *worker, st fleet.Status, co fleet.PollCommand, sent, now clock.Millis) bool {
+	runs, orphans, incarnation := len(wo.runs), len(wo.orphans), wo.report.Incarnation
 	if st.Incarnation != 0 && st.Incarnation != wo.report.Incarnation {
 		te.newIncarnation(wo, st.Incarnation)
 		wo.clock, wo.clockAt = st.Clock, now
@@ -133,8 +172,9 @@
 		te.applyRunning(wo, ru, now)
 	}
 	te.resolveFormerRuns(wo, listed, sent)
-	te.findMissing(wo, listed, sent)
+	missing := te.findMissing(wo, listed, sent)
 	te.throttle(wo, now)
+	return missing || runs != len(wo.runs) || orphans != len(wo.orphans) || incarnation != wo.report.Incarnation
 }
 
 // applyRunning applies the status of a run in progress. A run that no job places here becomes an
@@ -177,8 +217,8 @@
 
 // findMissing completes the runs that the worker should list but does not. A run that was
 // stopped before it began reports no completion, and neither does a run whose completion a
-// former leader acknowledged.
-func (te *term) findMissing(wo *worker, listed map[workload.TaskKey]bool, sent clock.Millis) {
+// former leader acknowledged. It reports whether there are any.
+func (te *term) findMissing(wo *worker, listed map[workload.TaskKey]bool, sent clock.Millis) (found bool) {
 	for key, pl := range wo.orphans {
 		if !listed[key] && pl.stoppedAt > 0 && pl.stoppedAt <= sent {
 			delete(wo.orphans, key)
@@ -190,11 +230,14 @@
 		}
 		switch {
 		case pl.stoppedAt > 0 && pl.stoppedAt <= sent:
+			found = true
 			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 		case pl.startedAt > 0 && pl.startedAt <= sent && pl.stoppedAt == 0:
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Msg("runMissing")
+			found = true
 			pl.startUncertain = true
 			te.stopTask(key)
 		}
 	}
+	return found
 }
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -28,10 +28,8 @@
 	// the advice service; a command is one call of a few milliseconds.
 	commandWorkers = 32
 	commandQueue   = 4096
-	// pollWorkers is the number of goroutines that poll workers and wait for completions, one
-	// for each busy worker.
-	pollWorkers = 256
-	pollQueue   = 4096
+	// pollQueue bounds the polls that wait for a goroutine, which schedulePoll keeps short.
+	pollQueue = 4096
 	// minRoundPause is the shortest pause between two rounds, so that completions that arrive
 	// close together are recorded in one transaction.
 	minRoundPause = 15 * clock.Millis(1)
@@ -95,6 +93,8 @@
 		// counts were last added to a batch.
 		pendingCounts map[string]int
 		countedAt     clock.Millis
+		// busyWorkers is the number of workers that had runs at the last dispatch.
+		busyWorkers int
 		// lastRound is the timing of the last round.
 		lastRound roundTiming
 		// loadLoggedAt is when the load was last logged.
@@ -134,7 +134,7 @@
 		fence:           el.Leader().Fence,
 		log:             co.Log.With().Int64("fence", int64(el.Leader().Fence)).Logger(),
 		commands:        pool.New(commandWorkers, commandQueue),
-		polls:           pool.New(pollWorkers, pollQueue),
+		polls:           pool.New(co.op.MaxPolls, pollQueue),
 		roundTrigger:    make(chan struct{}, 1),
 		dispatchTrigger: make(chan struct{}, 1),
 		startedAt:       now,
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -41,6 +41,8 @@
 	// leaseTime and takeoverTimeout are the values of the larger deployment.
 	leaseTime       = 10 * time.Second
 	takeoverTimeout = 2250 * time.Millisecond
+	// maxPolls is what the smallest machine of the deployments may poll at the same time.
+	maxPolls = 2944
 )
 
 // scenarioLog collects the log of the instances of the current scenario if the environment
@@ -54,10 +56,12 @@
 		peers *peers
 		// electionDelays holds the election delays of instances by name; 0 if not set.
 		electionDelays map[string]clock.Millis
-		cluster        *fleet.Cluster
-		instances      []*instance
-		config         wire.Config
-		jobsCreated    int
+		// maxPolls is how many workers an instance that starts may poll at the same time.
+		maxPolls    int
+		cluster     *fleet.Cluster
+		instances   []*instance
+		config      wire.Config
+		jobsCreated int
 	}
 
 	// instance is one process of the scheduler.
@@ -90,7 +94,7 @@
 }
 
 func runScenarioInBubble(t asserter.TB, instances, runners int, ignoresFences bool, fn func(ha *harness)) {
-	ha := &harness{t: t, peers: newPeers(), electionDelays: map[string]clock.Millis{}, cluster: fleet.New(fleet.Options{
+	ha := &harness{t: t, peers: newPeers(), maxPolls: maxPolls, electionDelays: map[string]clock.Millis{}, cluster: fleet.New(fleet.Options{
 		RunnerCount: runners, RunnersPerRack: 4, IgnoresFences: ignoresFences, MaxLease: leaseTime, DrainTime: 6 * time.Second, GangTimeout: 3 * time.Second,
 		Capacity: workload.Resources{CPU: 64000, Memory: 128000, Accelerators: 8},
 	})}
@@ -144,7 +148,7 @@
 		Instance: identifier.Instance(name), StoreAddress: fleet.StoreAddress, MemoryLimit: meter.Bytes(1 << 28),
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeadershipLeaseMillis: 3000,
 		PeerAddress: name, ElectionDelayMillis: ha.electionDelays[name], LeaseMillis: clock.FromDuration(leaseTime), TakeoverTimeoutMillis: clock.FromDuration(takeoverTimeout),
-		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900,
+		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, MaxPolls: ha.maxPolls,
 	}, participant.Dependencies{Clock: clock.NewRuntime(), Log: instanceLogger(name), Metrics: instrumenter.New(), Transport: ha.cluster.Transport(name), Tracer: tracer.Nop(), Dial: ha.peers.dial})
 	ln := ha.peers.listen(name)
 	go func() {
