--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -242,11 +242,11 @@
 // Stage returns the stage of a step of an occurrence, or nil if the occurrence has not
 // become due.
 func (jo *Job) Stage(occurrence, step int) *Stage {
-	at := occurrence*len(jo.Steps) + step
-	if occurrence < 0 || step < 0 || step >= len(jo.Steps) || at >= len(jo.Stages) {
+	// Keys come from workers too, so that the occurrence may be too large to be multiplied.
+	if occurrence < 0 || step < 0 || step >= len(jo.Steps) || occurrence >= len(jo.Stages)/len(jo.Steps) {
 		return nil
 	}
-	return jo.Stages[at]
+	return jo.Stages[occurrence*len(jo.Steps)+step]
 }
 
 // Task returns the task with the given key and its stage, or nil if there is none.
--- a/decisions/workload/workload_test.go
+++ b/decisions/workload/workload_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -118,6 +119,25 @@
 	})
 }
 
+func TestTask(t *testing.T) {
+	jo := newJob(workload.Step{Count: 2}, workload.Step{Count: 1})
+	t.Run("a key that a worker made up names no task", func(t *testing.T) {
+		for _, name := range []string{
+			"0123456789abcdef.4611686018427387904.1.0", "0123456789abcdef.-1.1.0", "0123456789abcdef.0.2.0", "0123456789abcdef.0.-1.0",
+			"0123456789abcdef.1.0.0", "0123456789abcdef.0.1.1", "0123456789abcdef.0.1.-1", "0123456789abcdef.9223372036854775807.1.0",
+		} {
+			key, ok := workload.ParseTaskKey(name)
+			asserter.Equal(t, ok, true)
+			_, ta := jo.Task(key)
+			asserter.Equal(t, ta == nil, true)
+		}
+	})
+	t.Run("a key of the job names its task", func(t *testing.T) {
+		_, ta := jo.Task(workload.TaskKey{Job: jo.ID, Step: 1})
+		asserter.Equal(t, ta == &jo.Stage(0, 1).Tasks[0], true)
+	})
+}
+
 func TestAddDueStages(t *testing.T) {
 	jo := &workload.Job{Steps: []workload.Step{{Count: 1}}, Occurrences: 3, FirstDue: 1000, Interval: 500}
 	asserter.Equal(t, jo.AddDueStages(999), 1000)
@@ -134,11 +154,24 @@
 		"a negative amount":      {{Count: 1, Request: workload.Resources{CPU: -1}}},
 		"a dependency on itself": {{Count: 1, After: []int{0}}},
 		"too many tasks":         {{Count: 1001}},
+		"counts that overflow":   {{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 4}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			asserter.Kind(t, (&workload.Job{Steps: steps, Occurrences: 1}).Validate(), problem.BadBody)
 		})
 	}
+	t.Run("too many tasks in all occurrences", func(t *testing.T) {
+		jo := &workload.Job{Steps: []workload.Step{{Count: 10}}, Occurrences: math.MaxInt / 4, Interval: 1}
+		asserter.Kind(t, jo.Validate(), problem.BadBody)
+	})
+	t.Run("a due time that overflows", func(t *testing.T) {
+		jo := &workload.Job{Steps: []workload.Step{{Count: 1}}, Occurrences: 100, FirstDue: 1, Interval: math.MaxInt64 / 50}
+		asserter.Kind(t, jo.Validate(), problem.BadBody)
+	})
+	t.Run("a valid repeated job", func(t *testing.T) {
+		jo := &workload.Job{Steps: []workload.Step{{Count: 100}}, Occurrences: 100, FirstDue: 1_800_000_000_000, Interval: 60_000}
+		asserter.NoError(t, jo.Validate())
+	})
 	t.Run("a valid job", func(t *testing.T) {
 		asserter.NoError(t, (&workload.Job{Steps: []workload.Step{{Count: 1}}, Occurrences: 1}).Validate())
 	})
