End the request of a transfer by a renewal as soon as the store answers

Test first: TestTakeover/after an outage of the store ..., queued after 250 ms. Change: a renewal is due at once while a request has not ended.

--- a/wagtailcroftd/controller/permission.go
+++ b/wagtailcroftd/controller/permission.go
@@ -34,8 +34,8 @@
 	// last renewal that was sent; it is never lower.
 	renewals, attempted int64
 	// transferEndsAt is the number of renewals at which the last request or offer of a transfer
-	// ends.
-	transferEndsAt int64
+	// ends, requestEndsAt that of the last request.
+	transferEndsAt, requestEndsAt int64
 	// transferRequestedAt is when other instances were last asked to acquire the leadership.
 	transferRequestedAt clock.Millis
 	// heldBack means that commands are due and may not leave.
@@ -51,25 +51,28 @@
 	return pe.renewedAt + elector.ExclusivePeriod
 }
 
-// renewalInterval returns the time between two renewals. A renewal takes as long as a commit and
-// may have to wait for the one before, so that a slow store needs it earlier.
-func (pe *permission) renewalInterval() clock.Millis {
-	return min(max(renewInterval-2*pe.commitTime, minRenewInterval), renewInterval)
+// renewAt returns when the next renewal is due: at once to end the request of a transfer that
+// nobody has followed. A renewal takes as long as a commit and may have to wait for the one before,
+// so that a slow store needs it earlier.
+func (pe *permission) renewAt() clock.Millis {
+	if pe.renewals < pe.requestEndsAt {
+		return pe.renewedAt
+	}
+	return pe.renewedAt + min(max(renewInterval-2*pe.commitTime, minRenewInterval), renewInterval)
 }
 
 // renewalDue reports whether the leadership must be renewed. Only the rounds renew it.
 func (te *term) renewalDue() bool {
 	te.mu.Lock()
 	defer te.mu.Unlock()
-	requested := te.transferRequestedAt > te.renewedAt && te.renewals < te.transferEndsAt
-	return requested || te.Clock.Now()-te.renewedAt >= te.renewalInterval()
+	return te.Clock.Now() >= te.renewAt()
 }
 
 // untilRenewal returns how long a round may wait for a trigger.
 func (te *term) untilRenewal() clock.Millis {
 	te.mu.Lock()
 	defer te.mu.Unlock()
-	return max(min(maxRoundInterval, te.renewedAt+te.renewalInterval()-te.Clock.Now()), 1)
+	return max(min(maxRoundInterval, te.renewAt()-te.Clock.Now()), 1)
 }
 
 // changeBy returns the latest moment at which a command may leave that starts or stops something.
@@ -114,8 +117,8 @@
 		return
 	}
 	te.transferRequestedAt = now
-	te.transferEndsAt = te.attempted + 1
-	ends := te.transferEndsAt
+	ends := te.attempted + 1
+	te.transferEndsAt, te.requestEndsAt = ends, ends
 	te.mu.Unlock()
 	te.log.Info().Int64("failingMillis", int64(now-since)).Msg("leadershipTransferNeeded")
 	te.Peers.RequestTransfer(te.ctx, te.fence, ends)
--- a/wagtailcroftd/participant/takeover_test.go
+++ b/wagtailcroftd/participant/takeover_test.go
@@ -132,6 +132,24 @@
 			asserter.Equal(t, ha.leader(), former)
 		})
 	})
+	t.Run("after an outage of the store, a leader that asked for a transfer in vain sends commands at once", func(t *testing.T) {
+		runScenario(t, 3, 4, func(ha *harness) {
+			ha.sleep(6 * time.Second) // until the leader has read the list of instances
+			former := ha.leader()
+			ha.cluster.StoreOutage("", fleet.Busy)
+			ha.sleep(1600 * time.Millisecond)
+			for i, in := range ha.instances {
+				if i != former {
+					ha.cluster.StoreOutage(in.name, fleet.Busy) // the others reach the store later
+				}
+			}
+			ha.cluster.StoreOutage("", fleet.NoOutage)
+			ha.sleep(200 * time.Millisecond) // the leader's pause between two tries
+			jo := ha.mustSubmit(former, ha.job(normalPrefix, seconds(1), tasks(1, 1)))
+			ha.awaitState(former, jo, "running", 250*time.Millisecond)
+			asserter.Equal(t, ha.leader(), former)
+		})
+	})
 	t.Run("a restarted process acquires its own leadership again at once", func(t *testing.T) {
 		runScenario(t, 1, 4, func(ha *harness) {
 			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(3), tasks(1, 1)))
