Log how long commands are queued, how long passes take, and the processor time used

Change: queuedMillis in startSent and stopSent, commands, passes, passMillis and processorMillis in loadReported, a histogram commandWait; no logic changes. Measured: tests of wagtailcroftd, controller and participant pass.

--- a/shared/clock/clock.go
+++ b/shared/clock/clock.go
@@ -82,6 +82,16 @@
 	return Millis(ts.Nano() / int64(time.Millisecond))
 }
 
+// ProcessorTime returns the processor time that this process has used, or 0 where the machine does not
+// tell.
+func ProcessorTime() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &ts); err != nil {
+		return 0
+	}
+	return Millis(ts.Nano() / int64(time.Millisecond))
+}
+
 // After returns a channel that receives one value after d.
 func (sy *System) After(d Millis) <-chan struct{} {
 	ch := make(chan struct{}, 1)
--- a/shared/pool/pool.go
+++ b/shared/pool/pool.go
@@ -69,6 +69,13 @@
 	return nil
 }
 
+// Unfinished returns how many functions were accepted and have not returned.
+func (po *Pool) Unfinished() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.unfinished
+}
+
 // Close rejects new functions, runs the queued ones and waits for the workers to exit.
 func (po *Pool) Close() {
 	po.mu.Lock()
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -24,6 +24,10 @@
 // dispatch starts the polls and sends the commands that are due. It is called with mu held.
 func (te *term) dispatch() {
 	now := te.Clock.Now()
+	defer func() {
+		te.passes.count++
+		te.passes.took += te.Clock.Now() - now
+	}()
 	te.busyWorkers = 0
 	for _, wo := range te.workers {
 		if wo.busy() {
@@ -105,7 +109,7 @@
 	to, before := wo.target(te.changeBy()), *pl
 	pl.startSent, pl.startUncertain, pl.resumed = true, true, ta.Checkpoint != ""
 	pl.tries++
-	te.submitCommand(false, pl, co.Task, func() { te.sendStart(wo, key, pl, before, to, co) })
+	te.submitCommand(false, pl, co.Task, func() { te.sendStart(wo, key, pl, before, to, co, now) })
 }
 
 // ticketFor returns the ticket for a start, or an empty ticket where none is needed. It returns
@@ -139,9 +143,10 @@
 
 // sendStart sends a start command and applies the answer. before is the placement as it was before
 // the command was submitted.
-func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, before placement, to fleet.Target, co fleet.StartCommand) {
+func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, before placement, to fleet.Target, co fleet.StartCommand, submitted clock.Millis) {
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
 	sent := te.Clock.Now()
+	te.Metrics.Observe("commandWait", sent-submitted)
 	st, err := te.Workers.Start(ctx, to, co)
 	cancel()
 	te.mu.Lock()
@@ -150,7 +155,7 @@
 	pl.inFlight = false
 	pl.retryAt = now + commandRetryPause
 	te.log.Info().Str("task", co.Task).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Int("try", pl.tries).
-		Bool("resumed", co.Checkpoint != "").Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("startSent")
+		Bool("resumed", co.Checkpoint != "").Int64("queuedMillis", int64(sent-submitted)).Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("startSent")
 	te.Metrics.Observe("start", now-sent)
 	te.Metrics.Count("starts", outcomeLabel(err))
 	if te.staleAnswer(wo, st, err, now) {
@@ -215,12 +220,14 @@
 		return
 	}
 	co := fleet.StopCommand{Task: key.String(), Run: pl.run, Fence: te.fence}
-	to := wo.target(sendBy)
-	te.submitCommand(true, pl, co.Task, func() { te.sendStop(wo, pl, to, co) })
+	to, submitted := wo.target(sendBy), te.Clock.Now()
+	te.submitCommand(true, pl, co.Task, func() { te.sendStop(wo, pl, to, co, submitted) })
 }
 
-func (te *term) sendStop(wo *worker, pl *placement, to fleet.Target, co fleet.StopCommand) {
+func (te *term) sendStop(wo *worker, pl *placement, to fleet.Target, co fleet.StopCommand, submitted clock.Millis) {
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
+	sent := te.Clock.Now()
+	te.Metrics.Observe("commandWait", sent-submitted)
 	st, err := te.Workers.Stop(ctx, to, co)
 	cancel()
 	te.mu.Lock()
@@ -228,7 +235,8 @@
 	now := te.Clock.Now()
 	pl.inFlight = false
 	pl.retryAt = now + commandRetryPause
-	te.log.Info().Str("task", co.Task).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).AnErr("refusal", err).Msg("stopSent")
+	te.log.Info().Str("task", co.Task).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).
+		Int64("queuedMillis", int64(sent-submitted)).Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("stopSent")
 	if te.staleAnswer(wo, st, err, now) {
 		return
 	}
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -208,6 +208,8 @@
 		return
 	}
 	te.loadLoggedAt = now
+	passes, used := te.passes, clock.ProcessorTime()-te.processorTime
+	te.passes, te.processorTime = passTiming{}, te.processorTime+used
 	var free workload.Resources
 	usable := 0
 	for _, wo := range in.Workers {
@@ -239,7 +241,8 @@
 		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
 		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
-		Int64("planMillis", int64(te.lastRound.plan)).Int64("recordMillis", int64(te.lastRound.record)).Int("recorded", te.lastRound.jobs).Msg("loadReported")
+		Int64("planMillis", int64(te.lastRound.plan)).Int64("recordMillis", int64(te.lastRound.record)).Int("recorded", te.lastRound.jobs).
+		Int("commands", te.commands.Unfinished()).Int("passes", passes.count).Int64("passMillis", int64(passes.took)).Int64("processorMillis", int64(used)).Msg("loadReported")
 }
 
 func (te *term) applyStop(sp planner.Stop) {
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -101,6 +101,16 @@
 		lastRound roundTiming
 		// loadLoggedAt is when the load was last logged.
 		loadLoggedAt clock.Millis
+		// passes counts the passes since loadLoggedAt.
+		passes passTiming
+		// processorTime is the processor time that the process had used at loadLoggedAt.
+		processorTime clock.Millis
+	}
+
+	// passTiming counts the passes over all workers, and how long they took together.
+	passTiming struct {
+		count int
+		took  clock.Millis
 	}
 
 	// roundTiming is how long the stages of a round took.
@@ -150,6 +160,7 @@
 		confirmedAt:     el.AcquiredAt(),
 		permission:      permission{renewedAt: el.AcquiredAt()},
 		pendingCounts:   map[string]int{},
+		processorTime:   clock.ProcessorTime(),
 	}
 }
 
