Dispatch to the workers that an event concerns instead of the whole fleet

Cause: every answer of a worker started a pass over all workers and all runs, so that the cost of an event grew with the fleet. Class: work per event that grows with the fleet. Change: an event marks the workers that it concerns; a pass over all of them every 250 ms finds what only the time has made due, and follows at once when commands were held back. Measured: TestDispatch failed before with 200 passes in a second of 200 events, now 4. Tests of controller and participant pass.

--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -19,15 +19,33 @@
 	// task planned again. It is shorter than the 3 s for which the members of a gang wait for
 	// each other.
 	startTimeout = 2000 * clock.Millis(1)
+	// passInterval is the time between two passes over all workers.
+	passInterval = 250 * clock.Millis(1)
 )
 
-// dispatch starts the polls and sends the commands that are due. It is called with mu held.
+// dispatch starts the polls and sends the commands that are due on the marked workers, and on all
+// workers when passInterval has passed. It is called with mu held.
 func (te *term) dispatch() {
 	now := te.Clock.Now()
+	if now-te.passedAt >= passInterval {
+		te.pass(now)
+		return
+	}
+	for wo := range te.marked {
+		delete(te.marked, wo)
+		te.dispatchTo(wo, now)
+	}
+}
+
+// pass dispatches to all workers. Its cost grows with the fleet, so that events mark the workers that
+// they concern instead; a pass finds what only the time has made due.
+func (te *term) pass(now clock.Millis) {
 	defer func() {
 		te.passes.count++
 		te.passes.took += te.Clock.Now() - now
 	}()
+	te.passedAt = now
+	clear(te.marked)
 	te.busyWorkers = 0
 	for _, wo := range te.workers {
 		if wo.busy() {
@@ -39,6 +57,21 @@
 	}
 }
 
+// mark makes the next dispatch include a worker.
+func (te *term) mark(wo *worker) {
+	te.marked[wo] = struct{}{}
+	notify(te.dispatchTrigger)
+}
+
+// markStops marks the workers on which runs of a job must be stopped.
+func (te *term) markStops(jo *workload.Job) {
+	jo.EachHeld(func(_ *workload.Stage, _ int, ta *workload.Task) {
+		if wo := te.workers[ta.Worker]; wo != nil && ta.Phase == workload.Stopping {
+			te.mark(wo)
+		}
+	})
+}
+
 // dispatchTo starts the poll of one worker and sends its commands, as far as they are due.
 func (te *term) dispatchTo(wo *worker, now clock.Millis) {
 	te.schedulePoll(wo, now)
@@ -165,11 +198,17 @@
 	if en == nil || wo.runs[key] != pl {
 		return
 	}
-	defer te.trigger()
+	te.mark(wo)
 	_, ta := en.job.Task(key)
-	switch {
-	case err == nil:
+	if err == nil {
 		confirmStart(en, pl, ta, now)
+		if en.dirty {
+			te.trigger()
+		}
+		return
+	}
+	defer te.trigger()
+	switch {
 	case eris.Is(err, fleet.ErrNotSent):
 		pl.startSent, pl.startUncertain, pl.resumed, pl.tries = before.startSent, before.startUncertain, before.resumed, before.tries
 	case eris.Is(err, fleet.ErrNoAnswer):
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -36,8 +36,14 @@
 		value []byte
 		// ended means that the job moves to the table of ended jobs.
 		ended bool
-		// runs are the placements that the row contains.
-		runs []*placement
+		// runs are the runs that the row contains and that were not recorded before.
+		runs []newRun
+	}
+
+	// newRun is a run and the worker on which it is placed.
+	newRun struct {
+		*placement
+		worker *worker
 	}
 
 	// write is a transaction that is being written, possibly in several tries.
@@ -75,6 +81,7 @@
 	now := te.Clock.Now()
 	for _, en := range te.sortedJobs() {
 		if en.dirty || (en.job.State.Final() && en.job.NoRunsLeft()) {
+			te.markStops(en.job)
 			ba.changes = append(ba.changes, te.change(en))
 			en.dirty = false
 		}
@@ -121,8 +128,12 @@
 	ch.value = recorder.Encode(recorder.EncodeProgress(jo, 0))
 	ch.tr.Puts = []rowstore.Put{{Key: key, Value: ch.value}}
 	jo.EachHeld(func(st *workload.Stage, index int, ta *workload.Task) {
-		if wo := te.workers[ta.Worker]; wo != nil && wo.runs[jo.Key(st, index)] != nil {
-			ch.runs = append(ch.runs, wo.runs[jo.Key(st, index)])
+		wo := te.workers[ta.Worker]
+		if wo == nil {
+			return
+		}
+		if pl := wo.runs[jo.Key(st, index)]; pl != nil && !pl.recorded {
+			ch.runs = append(ch.runs, newRun{placement: pl, worker: wo})
 		}
 	})
 	return ch
@@ -151,6 +162,7 @@
 		for wo, last := range ba.completions {
 			if wo.report.Incarnation == last.incarnation {
 				wo.recorded = max(wo.recorded, last.number)
+				te.mark(wo)
 			}
 		}
 		te.mu.Unlock()
@@ -227,6 +239,10 @@
 	if wr.renew {
 		te.leadership.RecordRenewal(wr.next, version)
 		te.renewedAt, te.renewals = effective, wr.next.Renewals
+		if te.heldBack {
+			te.passedAt = 0 // commands that were held back may be due on any worker
+			notify(te.dispatchTrigger)
+		}
 	}
 	if wr.counts != nil {
 		te.pendingCounts = wr.counts
@@ -238,8 +254,9 @@
 
 func (te *term) markChangeRecorded(ch *change, version meter.RowVersion) {
 	ch.entry.version = version
-	for _, pl := range ch.runs {
-		pl.recorded = true
+	for _, ru := range ch.runs {
+		ru.recorded = true
+		te.mark(ru.worker)
 	}
 	if ch.ended {
 		te.forget(ch.entry.job.ID)
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -129,9 +129,8 @@
 	wo.failures = 0
 	if te.applyStatus(wo, st, co, sent, now) || news {
 		te.trigger()
-		return
 	}
-	te.dispatchTo(wo, now) // nothing to plan
+	te.dispatchTo(wo, now)
 }
 
 func (te *term) pollFailed(wo *worker, to fleet.Target, err error, now clock.Millis) {
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -40,7 +40,6 @@
 			return
 		}
 		te.lastRound = roundTiming{plan: planned, record: te.Clock.Now() - started - planned, jobs: len(ba.changes)}
-		notify(te.dispatchTrigger)
 		// On a slow instance the API and the commands need CPU time too, so the pause is at
 		// least as long as the planning took.
 		clock.Sleep(te.ctx, te.Clock, max(minRoundPause, planned))
@@ -55,7 +54,7 @@
 		case <-te.ctx.Done():
 			return
 		case <-te.dispatchTrigger:
-		case <-te.Clock.After(maxRoundInterval):
+		case <-te.Clock.After(passInterval):
 		}
 		te.mu.Lock()
 		te.dispatch()
@@ -109,11 +108,10 @@
 			continue
 		}
 		for key := range wo.runs {
-			if st, ta := te.jobs[key.Job].job.Task(key); ta.Phase != workload.Stopping {
+			if _, ta := te.jobs[key.Job].job.Task(key); ta.Phase != workload.Stopping {
 				te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).
 					Int64("leavesInMillis", int64(wo.leavesAt-now)).Msg("runEvacuated")
-				te.jobs[key.Job].job.StopTask(st, ta)
-				te.jobs[key.Job].dirty = true
+				te.stopTask(key)
 			}
 		}
 	}
@@ -249,8 +247,7 @@
 	ta := &sp.Stage.Tasks[sp.Index]
 	te.log.Info().Str("task", sp.Job.Key(sp.Stage, sp.Index).String()).Int64("run", int64(ta.Run)).Str("for", string(sp.PreemptedFor)).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Msg("runPreempted")
-	sp.Job.StopTask(sp.Stage, ta)
-	te.jobs[sp.Job.ID].dirty = true
+	te.stopTask(sp.Job.Key(sp.Stage, sp.Index))
 }
 
 func (te *term) applyStart(st planner.Start, now clock.Millis) {
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -35,8 +35,7 @@
 	// minRoundPause is the shortest pause between two rounds, so that completions that arrive
 	// close together are recorded in one transaction.
 	minRoundPause = 15 * clock.Millis(1)
-	// maxRoundInterval is the longest wait for a trigger before a round or a dispatch starts
-	// anyway.
+	// maxRoundInterval is the longest wait for a trigger before a round starts anyway.
 	maxRoundInterval = 250 * clock.Millis(1)
 	// followWait is how long the store may wait for a change of a table before it answers. A
 	// connection can stop answering without an error; with the tailer's slack this is detected
@@ -95,8 +94,12 @@
 		// counts were last added to a batch.
 		pendingCounts map[string]int
 		countedAt     clock.Millis
-		// busyWorkers is the number of workers that had runs at the last dispatch.
+		// busyWorkers is the number of workers that had runs at the last pass.
 		busyWorkers int
+		// marked holds the workers on which commands may have become due since the last dispatch, and
+		// passedAt is when the last pass over all workers began.
+		marked   map[*worker]struct{}
+		passedAt clock.Millis
 		// lastRound is the timing of the last round.
 		lastRound roundTiming
 		// loadLoggedAt is when the load was last logged.
@@ -160,6 +163,7 @@
 		confirmedAt:     el.AcquiredAt(),
 		permission:      permission{renewedAt: el.AcquiredAt()},
 		pendingCounts:   map[string]int{},
+		marked:          map[*worker]struct{}{},
 		processorTime:   clock.ProcessorTime(),
 	}
 }
@@ -219,11 +223,8 @@
 	return false
 }
 
-// trigger starts a round and a dispatch of the commands that are due as soon as possible.
-func (te *term) trigger() {
-	notify(te.roundTrigger)
-	notify(te.dispatchTrigger)
-}
+// trigger starts a round as soon as possible.
+func (te *term) trigger() { notify(te.roundTrigger) }
 
 func notify(ch chan<- struct{}) {
 	select {
@@ -246,6 +247,8 @@
 	te.mu.Lock()
 	te.loaded = true
 	te.recoveredRows = nil
+	te.passedAt = 0
+	notify(te.dispatchTrigger)
 	te.mu.Unlock()
 	te.trigger()
 }
@@ -299,7 +302,9 @@
 		if ta.Phase == workload.Running {
 			ta.Phase = workload.Starting // until the worker confirms it again
 		}
-		te.ensureWorker(ta.Worker).expectRun(jo.Key(st, index), ta)
+		wo := te.ensureWorker(ta.Worker)
+		wo.expectRun(jo.Key(st, index), ta)
+		te.mark(wo)
 	})
 	te.learnSize(jo)
 	if _, cancelled := te.earlyCancels[id]; cancelled {
@@ -352,6 +357,7 @@
 	en.cancelled = true
 	if en.job.Cancel() {
 		en.dirty = true
+		te.markStops(en.job)
 		te.log.Info().Str("job", string(id)).Msg("jobCancelled")
 	}
 }
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -208,6 +208,7 @@
 		return
 	}
 	wo := te.ensureWorker(id)
+	te.mark(wo)
 	before := wo.report
 	wo.report, wo.listed = re, true
 	if re.Draining {
@@ -272,6 +273,7 @@
 	if st, ta := en.job.Task(key); ta != nil {
 		en.job.StopTask(st, ta)
 		en.dirty = true
+		te.markStops(en.job)
 	}
 }
 
