Decide what a command carries, and whether it may leave, when its turn comes

Cause: a start was queued with the permission, the lease and the ticket of that moment. A start whose task had been stopped meanwhile left all the same. Class: a decision taken before a wait and acted on after it. Change: starts and stops are queued without contents; at its turn each is prepared under the lock, or dropped if the run is no longer to be started or stopped. Measured: TestQueuedCommands failed before (the start came to its turn late and was held back) and passes; controller with the race detector and participant pass.

--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -111,19 +111,48 @@
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker is draining").Msg("startSkipped")
 		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 		te.trigger()
-	case ta.Phase == workload.Starting && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.mayChange(now):
+	case te.mayStart(wo, pl, ta, now):
 		if pl.tries > 0 && now-pl.placedAt > startTimeout {
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).Msg("startAbandoned")
 			te.stopTask(key)
 			te.trigger()
 			return
 		}
-		te.submitStart(wo, key, pl, ta)
+		te.submitStart(wo, key, pl)
 	}
 }
 
-func (te *term) submitStart(wo *worker, key workload.TaskKey, pl *placement, ta *workload.Task) {
+// mayStart reports whether the start of a task's run may leave now.
+func (te *term) mayStart(wo *worker, pl *placement, ta *workload.Task, now clock.Millis) bool {
+	return ta.Phase == workload.Starting && !wo.report.Draining && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.mayChange(now)
+}
+
+// submitStart queues the start of a run. What it carries, and whether it may still leave, is decided
+// when its turn comes, which may be some time later.
+func (te *term) submitStart(wo *worker, key workload.TaskKey, pl *placement) {
+	submitted := te.Clock.Now()
+	te.submitCommand(false, pl, key.String(), func() { te.sendStart(wo, key, pl, submitted) })
+}
+
+// prepareStart returns the start of a run whose turn has come, and the placement as it was before. It
+// returns false if the run is no longer to be started, or not now.
+func (te *term) prepareStart(wo *worker, key workload.TaskKey, pl *placement) (to fleet.Target, co fleet.StartCommand, before placement, ok bool) {
+	te.mu.Lock()
+	defer te.mu.Unlock()
 	now := te.Clock.Now()
+	pl.inFlight = false
+	en := te.jobs[key.Job]
+	if te.ctx.Err() != nil {
+		return to, co, before, false
+	}
+	te.mark(wo)
+	if en == nil || wo.runs[key] != pl {
+		return to, co, before, false
+	}
+	_, ta := en.job.Task(key)
+	if !te.mayStart(wo, pl, ta, now) {
+		return to, co, before, false
+	}
 	ticket, ok := te.ticketFor(wo, key, now)
 	if !ok {
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "no valid ticket from the advice service").Msg("startSkipped")
@@ -133,16 +162,15 @@
 			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 		}
 		te.trigger()
-		return
+		return to, co, before, false
 	}
-	co := fleet.StartCommand{
-		Task: key.String(), Run: pl.run, Payload: te.jobs[key.Job].job.Payload,
-		LeaseEnd: te.leaseEnd(wo, now), Fence: te.fence, Checkpoint: ta.Checkpoint, Ticket: ticket,
-	}
-	to, before := wo.target(te.changeBy()), *pl
-	pl.startSent, pl.startUncertain, pl.resumed = true, true, ta.Checkpoint != ""
+	before = *pl
+	pl.inFlight, pl.startSent, pl.startUncertain, pl.resumed = true, true, true, ta.Checkpoint != ""
 	pl.tries++
-	te.submitCommand(false, pl, co.Task, func() { te.sendStart(wo, key, pl, before, to, co, now) })
+	return wo.target(te.changeBy()), fleet.StartCommand{
+		Task: key.String(), Run: pl.run, Payload: en.job.Payload,
+		LeaseEnd: te.leaseEnd(wo, now), Fence: te.fence, Checkpoint: ta.Checkpoint, Ticket: ticket,
+	}, before, true
 }
 
 // ticketFor returns the ticket for a start, or an empty ticket where none is needed. It returns
@@ -174,9 +202,12 @@
 	return wo.leaseEnd
 }
 
-// sendStart sends a start command and applies the answer. before is the placement as it was before
-// the command was submitted.
-func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, before placement, to fleet.Target, co fleet.StartCommand, submitted clock.Millis) {
+// sendStart sends a start command and applies the answer.
+func (te *term) sendStart(wo *worker, key workload.TaskKey, pl *placement, submitted clock.Millis) {
+	to, co, before, ok := te.prepareStart(wo, key, pl)
+	if !ok {
+		return
+	}
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
 	sent := te.Clock.Now()
 	te.Metrics.Observe("commandWait", sent-submitted)
@@ -251,19 +282,40 @@
 }
 
 func (te *term) submitStop(wo *worker, key workload.TaskKey, pl *placement) {
-	sendBy := te.changeBy()
+	now := te.Clock.Now()
+	if wo.report.Address == "" || now >= te.stopBy(wo) && !te.mayChange(now) {
+		return
+	}
+	te.submitCommand(true, pl, key.String(), func() { te.sendStop(wo, key, pl, now) })
+}
+
+// stopBy returns the latest moment at which the stop of a run may leave. On a draining worker the run
+// ends anyway when the worker leaves, and then without a checkpoint.
+func (te *term) stopBy(wo *worker) clock.Millis {
 	if wo.report.Draining {
-		sendBy = te.keepBy() // the run ends anyway when the worker leaves, and then without a checkpoint
+		return te.keepBy()
 	}
-	if now := te.Clock.Now(); wo.report.Address == "" || now >= sendBy && !te.mayChange(now) {
-		return
+	return te.changeBy()
+}
+
+// prepareStop returns the worker to which the stop of a run is sent now that its turn has come. It
+// returns false if the run has ended meanwhile.
+func (te *term) prepareStop(wo *worker, key workload.TaskKey, pl *placement) (fleet.Target, bool) {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	if te.ctx.Err() != nil || wo.runs[key] != pl && wo.orphans[key] != pl {
+		pl.inFlight = false
+		return fleet.Target{}, false
 	}
-	co := fleet.StopCommand{Task: key.String(), Run: pl.run, Fence: te.fence}
-	to, submitted := wo.target(sendBy), te.Clock.Now()
-	te.submitCommand(true, pl, co.Task, func() { te.sendStop(wo, pl, to, co, submitted) })
+	return wo.target(te.stopBy(wo)), true
 }
 
-func (te *term) sendStop(wo *worker, pl *placement, to fleet.Target, co fleet.StopCommand, submitted clock.Millis) {
+func (te *term) sendStop(wo *worker, key workload.TaskKey, pl *placement, submitted clock.Millis) {
+	to, ok := te.prepareStop(wo, key, pl)
+	if !ok {
+		return
+	}
+	co := fleet.StopCommand{Task: key.String(), Run: pl.run, Fence: te.fence}
 	ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
 	sent := te.Clock.Now()
 	te.Metrics.Observe("commandWait", sent-submitted)
