Plan only as many starts as the leader can send soon

Cause: a round planned all that fitted into the workers, and the starts left in that order. Class: an unbounded queue between a decision and its execution, in order of arrival. Change: decisions/pacer keeps a window of outstanding starts that follows how soon starts are answered, an eighth of the time for which gang members wait for each other (gangTimeoutMs, read from the settings); the planner starts no more than that, gangs whole or not at all, and lets urgent work have a second window; starts of urgent work go first in the queue. Work that is not planned yet can still be overtaken. The stand-in gets a processor that each call of a machine occupies.

--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -90,10 +90,22 @@
 		// ExpectedRunTime returns the expected run time of a task of a step; if it is nil,
 		// the estimate of the step is used.
 		ExpectedRunTime func(jo *workload.Job, step int) clock.Millis
+		// Starts limits how many tasks the plan starts; nil means no limit.
+		Starts *StartLimit
 		// WaitTime returns the time since the scheduler learned of a job, on its own clock.
 		WaitTime func(id identifier.Job) clock.Millis
 	}
 
+	// StartLimit is how many tasks a plan may start. Work that does not fit is planned later, so that
+	// more urgent work can overtake it; a gang is started whole or not at all.
+	StartLimit struct {
+		// Normal limits the starts of all work together, Urgent those of work of priority 0 and is not
+		// lower.
+		Normal, Urgent int
+		// Idle means that few starts are outstanding, so that a gang may exceed the limit.
+		Idle bool
+	}
+
 	// Demand is the mean and the standard deviation of a number of accelerators.
 	Demand struct{ Mean, Deviation float64 }
 
--- a/decisions/planner/planner_test.go
+++ b/decisions/planner/planner_test.go
@@ -321,3 +321,44 @@
 		planner.New(planner.Completion).Plan(fx.Input)
 	}
 }
+
+// TestStartLimit guards against a plan that is far ahead of what the leader can send, in which urgent
+// work and the members of a gang wait behind all that was planned before (RECLAIM, GANG).
+func TestStartLimit(t *testing.T) {
+	plan := func(fx *fixture, li planner.StartLimit) planner.Plan {
+		fx.Starts = &li
+		return planner.New(planner.Completion).Plan(fx.Input)
+	}
+	t.Run("a step without a gang is started in part", func(t *testing.T) {
+		fx := newFixture(8, 4)
+		jo := fx.add(batch, "a", step(20, 1))
+		asserter.Equal(t, starts(plan(fx, planner.StartLimit{Normal: 7, Urgent: 14}), jo), 7)
+	})
+	t.Run("a gang is started whole or not at all, and smaller work does not overtake it", func(t *testing.T) {
+		fx := newFixture(8, 4)
+		ga, small := fx.add(batch, "a", gang(4, 8)), fx.add(batch, "a", step(2, 1))
+		pl := plan(fx, planner.StartLimit{Normal: 3, Urgent: 6})
+		asserter.Equal(t, starts(pl, ga), 0)
+		asserter.Equal(t, starts(pl, small), 0)
+		asserter.Equal(t, starts(plan(fx, planner.StartLimit{Normal: 4, Urgent: 8}), ga), 4)
+	})
+	t.Run("a gang larger than the limit is started when few starts are outstanding", func(t *testing.T) {
+		fx := newFixture(8, 4)
+		ga := fx.add(batch, "a", gang(4, 8))
+		asserter.Equal(t, starts(plan(fx, planner.StartLimit{Normal: 3, Urgent: 6, Idle: true}), ga), 4)
+	})
+	t.Run("a gang for which there is no room holds up nothing", func(t *testing.T) {
+		fx := newFixture(3, 3)
+		fx.add(batch, "a", gang(4, 8))
+		small := fx.add(batch, "a", step(2, 1))
+		asserter.Equal(t, starts(plan(fx, planner.StartLimit{Normal: 3, Urgent: 6}), small), 2)
+	})
+	t.Run("urgent work has a limit of its own", func(t *testing.T) {
+		fx := newFixture(8, 4)
+		first := fx.add(batch, "a", step(20, 1))
+		second := fx.add(urgent, "a", step(4, 1))
+		pl := plan(fx, planner.StartLimit{Normal: 0, Urgent: 6})
+		asserter.Equal(t, starts(pl, first), 0)
+		asserter.Equal(t, starts(pl, second), 4)
+	})
+}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -53,6 +53,11 @@
 		// freeCounts holds, for each pool, the number of usable slots by the number of
 		// their accelerators that are free once all stopping runs have ended.
 		freeCounts map[identifier.Pool][]int
+		// starts is the number of tasks that the plan starts.
+		starts int
+		// full means that work below priority 0 has found the limit of starts reached, and allFull that
+		// work of priority 0 has.
+		full, allFull bool
 	}
 
 	// slot is a worker and the resources on it that the plan so far leaves free.
@@ -188,6 +193,9 @@
 // placeTasks places the tasks with the given indexes together. It reports whether there
 // are, or soon will be, resources for them.
 func (ro *round) placeTasks(ca candidate, indexes []int) bool {
+	if !ro.mayStart(ca, 1) {
+		return false
+	}
 	cannotFit := ro.cannotFit(ca, len(indexes))
 	mayPreempt := ca.queue.Priority == 0 && ro.preemptionSearches < maxPreemptionSearches
 	mayHold := ca.step.Gang && ro.holdSearches < maxHoldSearches && !ro.holdLimitReached(0)
@@ -197,7 +205,7 @@
 	slots := ro.allowed(ca, indexes)
 	if !cannotFit {
 		if found := ro.find(ca, slots, len(indexes), freeNow); found != nil {
-			if !ro.leavesHeadroom(ca, len(indexes)) {
+			if !ro.leavesHeadroom(ca, len(indexes)) || !ro.mayStart(ca, len(indexes)) {
 				return false
 			}
 			ro.start(ca, indexes, found)
@@ -221,6 +229,29 @@
 	return false
 }
 
+// mayStart reports whether the limit of starts allows to start that many tasks of a candidate. If not,
+// the work that follows waits too, except more urgent work, so that a large gang is not overtaken by
+// smaller work again and again.
+func (ro *round) mayStart(ca candidate, count int) bool {
+	li := ro.in.Starts
+	if li == nil {
+		return true
+	}
+	urgent := ca.queue.Priority == 0
+	most := li.Normal
+	if urgent {
+		most = li.Urgent
+	}
+	if ro.allFull || ro.full && !urgent {
+		return false
+	}
+	if ro.starts+count <= most || li.Idle && ro.starts == 0 {
+		return true
+	}
+	ro.full, ro.allFull = true, urgent
+	return false
+}
+
 // leavesHeadroom reports whether the tasks leave enough accelerators free for expected
 // urgent work, so that it need not preempt other work.
 func (ro *round) leavesHeadroom(ca candidate, count int) bool {
@@ -247,6 +278,7 @@
 // start adds new runs to the plan.
 func (ro *round) start(ca candidate, indexes []int, found []*slot) {
 	ro.reserve(ca, found)
+	ro.starts += len(found)
 	if ca.queue.Priority == 0 {
 		ro.urgentInUse[ca.queue.Pool] += meter.Accelerators(len(found)) * ca.step.Request.Accelerators
 	}
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -15,6 +15,9 @@
 	// CallerAddress Listen address for callers.
 	CallerAddress string `json:"callerAddress" toml:"callerAddress" validate:"required,hostname_port"`
 
+	// GangTimeoutMillis How long a member of a gang waits on its worker for the other members, in milliseconds.
+	GangTimeoutMillis externalRef0.Millis `json:"gangTimeoutMillis" toml:"gangTimeoutMillis" validate:"min=100,max=600000"`
+
 	// GraceMillis Maximum duration of a graceful shutdown, in milliseconds.
 	GraceMillis externalRef0.Millis `json:"graceMillis" toml:"graceMillis" validate:"min=100,max=600000"`
 
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -238,6 +238,14 @@
 	return cl.oracle.starts
 }
 
+// AloneCount returns how many runs have ended because the other members of their gang did not start in
+// time.
+func (cl *Cluster) AloneCount() int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.oracle.alone
+}
+
 // RunnersOf returns, for each running task of the job, the index of its runner.
 func (cl *Cluster) RunnersOf(job string) []int {
 	cl.mu.Lock()
--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -28,8 +28,8 @@
 // submitted and what the runners have done, but nothing about the state of the scheduler.
 type oracle struct {
 	cluster *Cluster
-	// starts is the number of started runs.
-	starts int
+	// starts is the number of started runs, alone that of those that ended alone.
+	starts, alone int
 	// acknowledged contains the units (see unit) whose completion as done the scheduler has
 	// acknowledged.
 	acknowledged map[string]bool
@@ -122,6 +122,9 @@
 }
 
 func (ora *oracle) recordCompletion(key workload.TaskKey, _ int64, how string) {
+	if how == "alone" {
+		ora.alone++
+	}
 	if how == "done" {
 		if ora.completed == nil {
 			ora.completed = map[string]bool{}
--- a/standin/fleet/transport.go
+++ b/standin/fleet/transport.go
@@ -42,6 +42,8 @@
 		// machine when it is about to send a call to a path.
 		paused map[string]*processPause
 		armed  map[string]armedPause
+		// processors holds the processors of machines that are too small for what they send.
+		processors map[string]*processor
 		// faultFreeSince is the end of the last store fault. During a store fault it is in
 		// the future.
 		faultFreeSince time.Time
@@ -78,6 +80,7 @@
 	fa.runnerOutages = map[string]map[string]Outage{}
 	fa.paused = map[string]*processPause{}
 	fa.armed = map[string]armedPause{}
+	fa.processors = map[string]*processor{}
 	fa.rnd = rand.New(rand.NewPCG(seed1, seed2)) //nolint:gosec // simulation, not security
 }
 
@@ -199,6 +202,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !tr.cluster.faults.processorOf(tr.from).use(rq.Context()) {
+		return nil, rq.Context().Err()
+	}
 	rq = tr.leave(rq)
 	if gap, _ := rq.Context().Value(inGap{}).(bool); !gap {
 		if err := platform.CheckPermit(rq.Context()); err != nil {
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -7,6 +7,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
 const (
@@ -131,7 +132,17 @@
 // when its turn comes, which may be some time later.
 func (te *term) submitStart(wo *worker, key workload.TaskKey, pl *placement) {
 	submitted := te.Clock.Now()
-	te.submitCommand(false, pl, key.String(), func() { te.sendStart(wo, key, pl, submitted) })
+	te.submitCommand(te.urgent(key.Job), pl, key.String(), func() { te.sendStart(wo, key, pl, submitted) })
+}
+
+// urgent reports whether the queue of a job has priority 0.
+func (te *term) urgent(id identifier.Job) bool {
+	po := te.Policies.Current()
+	if po == nil {
+		return false
+	}
+	qu := po.Queue(te.jobs[id].job.Queue)
+	return qu != nil && qu.Priority == 0
 }
 
 // prepareStart returns the start of a run whose turn has come, and the placement as it was before. It
@@ -232,6 +243,9 @@
 	te.mark(wo)
 	_, ta := en.job.Task(key)
 	if err == nil {
+		if before.tries == 0 {
+			te.pacer.Answered(now-submitted, te.outstanding, now)
+		}
 		confirmStart(en, pl, ta, now)
 		if en.dirty {
 			te.trigger()
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -102,6 +102,8 @@
 		ElectionDelay clock.Millis
 		// StopGrace is the longest time that a run takes to stop.
 		StopGrace clock.Millis
+		// GangTimeout is how long a member of a gang waits on its worker for the other members.
+		GangTimeout clock.Millis
 		// MaintenanceDelay is how long a new leader waits before it sends commands to machines.
 		MaintenanceDelay clock.Millis
 		// MaxPolls is how many workers may be polled at the same time. A poll holds a connection
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -16,6 +16,13 @@
 	evacuationMargin = 800 * clock.Millis(1)
 	// loadLogInterval is the time between two log lines about the load.
 	loadLogInterval = 1000 * clock.Millis(1)
+	// pacePerGangTimeout is the fraction of the time for which members of a gang wait for each other
+	// within which a start should be answered.
+	pacePerGangTimeout = 8
+	// urgentWindows is how many windows of starts may be outstanding for urgent work.
+	urgentWindows = 2
+	// idleFraction is the fraction of the window below which few starts are outstanding.
+	idleFraction = 4
 	// unusableAfterFailures is the number of consecutive failed polls after which a worker gets
 	// no new work.
 	unusableAfterFailures = 1
@@ -150,6 +157,7 @@
 		in.Jobs = append(in.Jobs, en.job)
 	}
 	in.Demand = te.urgentDemand(in)
+	in.Starts = te.startLimit()
 	for _, wo := range te.workers {
 		if wo.listed || len(wo.runs) > 0 {
 			in.Workers = append(in.Workers, te.plannerWorker(wo, now))
@@ -158,6 +166,23 @@
 	return in
 }
 
+// startLimit returns how many tasks may be started now. A start that was sent once without an answer is
+// not counted, because it says nothing about the queue.
+func (te *term) startLimit() *planner.StartLimit {
+	te.outstanding = 0
+	for _, wo := range te.workers {
+		for _, pl := range wo.runs {
+			if pl.startedAt == 0 && (pl.tries == 0 || pl.tries == 1 && pl.inFlight) {
+				te.outstanding++
+			}
+		}
+	}
+	window := te.pacer.Budget(0)
+	return &planner.StartLimit{
+		Normal: te.pacer.Budget(te.outstanding), Urgent: max(urgentWindows*window-te.outstanding, 0), Idle: te.outstanding <= window/idleFraction,
+	}
+}
+
 // urgentDemand returns the recent resource demand of urgent work in each pool.
 func (te *term) urgentDemand(in planner.Input) map[identifier.Pool]planner.Demand {
 	used := map[identifier.Pool]meter.Accelerators{}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
+	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -80,6 +81,10 @@
 		advice *adviser.Adviser
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
+		// pacer limits the starts that are planned and not answered; outstanding is their number in the
+		// last round.
+		pacer       *pacer.Pacer
+		outstanding int
 		// earlyCancels holds the cancellations of jobs that are not known yet, with their times
 		// of arrival.
 		earlyCancels map[identifier.Job]clock.Millis
@@ -158,6 +163,7 @@
 		workers:         map[identifier.Worker]*worker{},
 		advice:          adviser.New(),
 		predictor:       predictor.New(),
+		pacer:           pacer.New(co.op.GangTimeout / pacePerGangTimeout),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
 		failedWorkers:   map[identifier.Job]map[identifier.Worker]bool{},
 		confirmedAt:     el.AcquiredAt(),
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -105,7 +105,7 @@
 	deps.Peers = pa.messenger
 	pa.controller = controller.New(deps, controller.Options{
 		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Address: set.PeerAddress, LeaseDuration: set.LeaseMillis, TakeoverTimeout: set.TakeoverTimeoutMillis, ElectionDelay: set.ElectionDelayMillis,
-		StopGrace: set.StopGraceMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis,
+		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis,
 	})
 	pa.overseer = overseer.New(overseer.Options{
 		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower, Metrics: de.Metrics,
