Give up a gang whole before its first members stop waiting for the others

Cause: only a start that had been sent without an answer was given up, 2 s after it was planned, whatever gangTimeoutMs was; a member that still waited in the leader's queue was not looked at, so that the others ended alone on their workers (GANG). Class: a time bound that is a constant, and that starts only with an attempt. Change: a member that has not left two thirds of gangTimeoutMs after its run was recorded stops the gang, if another member has left; a start without an answer is given up after the same time. A gang of which nothing has left, and runs that a former leader has started, are not concerned.

--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -16,10 +16,10 @@
 	commandTimeout = 500 * clock.Millis(1)
 	// commandRetryPause is the pause before a command is retried.
 	commandRetryPause = 150 * clock.Millis(1)
-	// startTimeout is how long a start may remain unanswered before the run is stopped and the
-	// task planned again. It is shorter than the 3 s for which the members of a gang wait for
-	// each other.
-	startTimeout = 2000 * clock.Millis(1)
+	// startTimeoutDividend and startTimeoutDivisor make the part of the time for which the members of a
+	// gang wait for each other that a start may remain unanswered. The rest is left to stop the members
+	// that have started.
+	startTimeoutDividend, startTimeoutDivisor = 2, 3
 	// passInterval is the time between two passes over all workers.
 	passInterval = 250 * clock.Millis(1)
 )
@@ -93,10 +93,16 @@
 
 // sendDueCommand submits the start or stop command that a run needs, if any.
 func (te *term) sendDueCommand(wo *worker, key workload.TaskKey, pl *placement, now clock.Millis) {
+	st, ta := te.jobs[key.Job].job.Task(key)
+	if te.gangExpired(key.Job, st, pl, ta, now) {
+		te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).
+			Str("why", "the other members of the gang have waited too long").Msg("startAbandoned")
+		te.stopTask(key)
+		te.trigger()
+	}
 	if !pl.due(now) {
 		return
 	}
-	_, ta := te.jobs[key.Job].job.Task(key)
 	switch {
 	case ta.Phase == workload.Stopping && pl.stoppedAt == 0:
 		if !pl.startSent {
@@ -113,7 +119,7 @@
 		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 		te.trigger()
 	case te.mayStart(wo, pl, ta, now):
-		if pl.tries > 0 && now-pl.placedAt > startTimeout {
+		if pl.tries > 0 && now-pl.dueSince > te.startTimeout() {
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).Msg("startAbandoned")
 			te.stopTask(key)
 			te.trigger()
@@ -123,6 +129,29 @@
 	}
 }
 
+// startTimeout is how long a start may remain unanswered before the run is stopped and the task planned
+// again.
+func (te *term) startTimeout() clock.Millis {
+	return te.op.GangTimeout * startTimeoutDividend / startTimeoutDivisor
+}
+
+// gangExpired reports whether a run has not been sent although other members of its gang have, so long
+// that they may end before it starts.
+func (te *term) gangExpired(id identifier.Job, st *workload.Stage, pl *placement, ta *workload.Task, now clock.Millis) bool {
+	jo := te.jobs[id].job
+	if ta.Phase != workload.Starting || pl.startSent || !pl.recorded || !jo.StepOf(st).Gang || now-pl.dueSince <= te.startTimeout() {
+		return false
+	}
+	for i := range st.Tasks {
+		if wo := te.workers[st.Tasks[i].Worker]; wo != nil {
+			if other := wo.runs[jo.Key(st, i)]; other != nil && other.startSent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // mayStart reports whether the start of a task's run may leave now.
 func (te *term) mayStart(wo *worker, pl *placement, ta *workload.Task, now clock.Millis) bool {
 	return ta.Phase == workload.Starting && !wo.report.Draining && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.mayChange(now)
@@ -160,8 +189,8 @@
 	if en == nil || wo.runs[key] != pl {
 		return to, co, before, false
 	}
-	_, ta := en.job.Task(key)
-	if !te.mayStart(wo, pl, ta, now) {
+	st, ta := en.job.Task(key)
+	if !te.mayStart(wo, pl, ta, now) || te.gangExpired(key.Job, st, pl, ta, now) {
 		return to, co, before, false
 	}
 	ticket, ok := te.ticketFor(wo, key, now)
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -255,7 +255,7 @@
 func (te *term) markChangeRecorded(ch *change, version meter.RowVersion) {
 	ch.entry.version = version
 	for _, ru := range ch.runs {
-		ru.recorded = true
+		ru.recorded, ru.dueSince = true, te.Clock.Now()
 		te.mark(ru.worker)
 	}
 	if ch.ended {
--- a/wagtailcroftd/controller/dispatch_test.go
+++ b/wagtailcroftd/controller/dispatch_test.go
@@ -22,6 +22,9 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 )
 
+// gangTimeout is how long the members of a gang wait for each other on their workers.
+const gangTimeout = 1800 * clock.Millis(1)
+
 type (
 	// answeringWorkers answer each start and no poll.
 	answeringWorkers struct {
@@ -30,21 +33,34 @@
 		// late is set if a start was sent whose latest moment had passed; starts counts those in time.
 		late   atomic.Bool
 		starts atomic.Int32
+		// silent is a worker that answers no start; "" means none.
+		silent identifier.Worker
+		// stoppedAt is when a stop was last sent; 0 means never.
+		stoppedAt atomic.Int64
 	}
 
 	// noPolicies is a configuration that has not been read yet.
 	noPolicies struct{}
 )
 
-func (aw *answeringWorkers) Start(_ context.Context, to fleet.Target, _ fleet.StartCommand) (fleet.Status, error) {
+func (aw *answeringWorkers) Start(ctx context.Context, to fleet.Target, _ fleet.StartCommand) (fleet.Status, error) {
 	if aw.cl.Now() >= to.SendBy {
 		aw.late.Store(true)
 		return fleet.Status{}, fleet.ErrNotSent
 	}
+	if to.ID == aw.silent {
+		<-ctx.Done()
+		return fleet.Status{}, fleet.ErrNoAnswer
+	}
 	aw.starts.Add(1)
 	return fleet.Status{}, nil
 }
 
+func (aw *answeringWorkers) Stop(context.Context, fleet.Target, fleet.StopCommand) (fleet.Status, error) {
+	aw.stoppedAt.Store(int64(aw.cl.Now()))
+	return fleet.Status{}, nil
+}
+
 func (*answeringWorkers) Poll(ctx context.Context, _ fleet.Target, _ fleet.PollCommand) (fleet.Status, error) {
 	<-ctx.Done()
 	return fleet.Status{}, fleet.ErrNoAnswer
@@ -70,7 +86,7 @@
 					return fleet.Report{ID: identifier.Worker(name), Address: name}, nil
 				}},
 			},
-			op: Options{MaxPolls: 1},
+			op: Options{MaxPolls: 1, GangTimeout: gangTimeout},
 		}
 		el := elector.New(st, quietPeers{}, cl, zerolog.Nop(), quietMetrics{}, elector.Options{Self: ledger.Leader{Instance: "self", Incarnation: "x", Address: "a"}})
 		asserter.Equal(t, el.Acquire(context.Background()), true)
@@ -113,16 +129,31 @@
 	})
 }
 
-// addStartingJob adds a job of one task that is recorded as starting on a worker that has answered.
-func addStartingJob(te *term, id identifier.Job, on identifier.Worker) {
-	jo := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{Count: 1}}}
+// addStartingJob adds a job, a gang if it has several tasks, that is recorded as starting on workers that
+// have answered. Its starts are not dispatched yet.
+func addStartingJob(te *term, id identifier.Job, on ...identifier.Worker) {
+	jo := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{Count: len(on), Gang: len(on) > 1}}}
 	jo.AddDueStages(0)
-	wo := te.workers[on]
-	wo.contacted = true
 	te.jobs[id] = &entry{job: jo}
-	te.applyStart(planner.Start{Job: jo, Stage: jo.Stages[0], Placements: []planner.Placement{{Worker: on}}}, te.Clock.Now())
-	wo.runs[jo.Key(jo.Stages[0], 0)].recorded = true
-	te.mark(wo)
+	start := planner.Start{Job: jo, Stage: jo.Stages[0]}
+	for i, at := range on {
+		te.workers[at].contacted = true
+		start.Placements = append(start.Placements, planner.Placement{Index: i, Worker: at})
+	}
+	te.applyStart(start, te.Clock.Now())
+	for i, at := range on {
+		te.workers[at].runs[jo.Key(jo.Stages[0], i)].recorded = true
+	}
+}
+
+// keepLeading renews the leadership once a second for some seconds.
+func keepLeading(te *term, seconds int) {
+	for range seconds {
+		time.Sleep(time.Second)
+		te.mu.Lock()
+		te.renewedAt = te.Clock.Now()
+		te.mu.Unlock()
+	}
 }
 
 // TestQueuedCommands guards against commands that carry the permission of the moment at which they were
@@ -136,16 +167,60 @@
 			}
 			te.mu.Lock()
 			addStartingJob(te, "j", "w-0")
+			te.mark(te.workers["w-0"])
 			te.mu.Unlock()
-			for range 4 {
-				time.Sleep(time.Second)
-				te.mu.Lock()
-				te.renewedAt = te.Clock.Now()
-				te.mu.Unlock()
-			}
+			keepLeading(te, 4)
 			wk, _ := te.Workers.(*answeringWorkers)
 			asserter.Equal(t, wk.late.Load(), false)
 			asserter.Equal(t, wk.starts.Load(), 1)
 		})
 	})
 }
+
+// TestExpiredGang guards against members of a gang that wait on their workers until they end alone,
+// because another member starts too late or never (GANG).
+func TestExpiredGang(t *testing.T) {
+	expect := func(t *testing.T, te *term, began clock.Millis) {
+		t.Helper()
+		wk, _ := te.Workers.(*answeringWorkers)
+		asserter.Equal(t, wk.starts.Load(), 1)
+		if at := clock.Millis(wk.stoppedAt.Load()); at == 0 || at-began >= gangTimeout {
+			t.Errorf("the member that has started is stopped at %d, not within %d ms", at, gangTimeout)
+		}
+	}
+	t.Run("a gang one member of which waits in the queue is given up whole", func(t *testing.T) {
+		runTerm(t, 2, func(te *term) {
+			go te.runDispatcher()
+			time.Sleep((passInterval * 3 / 2).Duration()) // between two passes
+			for range commandWorkers - 1 {
+				asserter.NoError(t, te.commands.Submit(true, func() { time.Sleep(8 * time.Second) }))
+			}
+			te.mu.Lock()
+			began := te.Clock.Now()
+			addStartingJob(te, "g", "w-0", "w-1")
+			te.mark(te.workers["w-0"])
+			te.mu.Unlock()
+			synctest.Wait()
+			for range 20 {
+				asserter.NoError(t, te.commands.Submit(false, func() { time.Sleep(100 * time.Millisecond) }))
+			}
+			keepLeading(te, 4)
+			expect(t, te, began)
+		})
+	})
+	t.Run("a gang one member of which is never answered is given up whole", func(t *testing.T) {
+		runTerm(t, 2, func(te *term) {
+			wk, _ := te.Workers.(*answeringWorkers)
+			wk.silent = "w-1"
+			go te.runDispatcher()
+			te.mu.Lock()
+			began := te.Clock.Now()
+			addStartingJob(te, "g", "w-0", "w-1")
+			te.mark(te.workers["w-0"])
+			te.mark(te.workers["w-1"])
+			te.mu.Unlock()
+			keepLeading(te, 4)
+			expect(t, te, began)
+		})
+	})
+}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -183,7 +183,7 @@
 	if pl == nil || pl.run != ru.Run {
 		if orphan := wo.orphans[ru.Task]; orphan == nil || orphan.run != ru.Run {
 			te.log.Warn().Str("task", ru.Task.String()).Int64("run", int64(ru.Run)).Str("worker", string(wo.id)).Msg("orphanedRunFound")
-			wo.orphans[ru.Task] = &placement{run: ru.Run, incarnation: wo.report.Incarnation, placedAt: now}
+			wo.orphans[ru.Task] = &placement{run: ru.Run, incarnation: wo.report.Incarnation, dueSince: now}
 		}
 		return
 	}
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -282,7 +282,7 @@
 		ta := &st.Stage.Tasks[pl.Index]
 		ta.Phase, ta.Run, ta.Worker, ta.Incarnation, ta.PlacedAt = workload.Starting, run, pl.Worker, pl.Incarnation, now
 		key := st.Job.Key(st.Stage, pl.Index)
-		te.workers[pl.Worker].runs[key] = &placement{run: run, incarnation: pl.Incarnation, placedAt: now, speed: throttler.FullSpeed}
+		te.workers[pl.Worker].runs[key] = &placement{run: run, incarnation: pl.Incarnation, dueSince: now, speed: throttler.FullSpeed}
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
 			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
 	}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -121,8 +121,9 @@
 		startUncertain bool
 		// startedAt is when the worker confirmed the run; 0 means not yet.
 		startedAt clock.Millis
-		// placedAt is when the run was planned, read from the store, or found as an orphan.
-		placedAt clock.Millis
+		// dueSince is when the run was planned and, if that is later, recorded by this leader; or when it
+		// was read from the store or found as an orphan.
+		dueSince clock.Millis
 		// speed is the percentage of its full speed to which the run is throttled; throttling
 		// means that a command to change it is in progress.
 		speed      meter.Percent
@@ -149,7 +150,7 @@
 
 // expectRun adds a run that the job rows place on the worker.
 func (wo *worker) expectRun(key workload.TaskKey, ta *workload.Task) {
-	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, startUncertain: true, placedAt: ta.PlacedAt, speed: throttler.FullSpeed}
+	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, startUncertain: true, dueSince: ta.PlacedAt, speed: throttler.FullSpeed}
 }
 
 // estimatedClock estimates the reading of the worker's clock at a time of this instance's
