Count only the starts that this leader has still to send as outstanding

Cause: the limit of starts counted every run that has not been confirmed, also those of a former leader on workers that cannot be reached, which stay so for up to a lease and 12 s; a new leader with more of them than its window would have started nothing for that time (LOST). Change: a run counts until its first start has left, or been answered or given up.

--- a/wagtailcroftd/controller/dispatch_test.go
+++ b/wagtailcroftd/controller/dispatch_test.go
@@ -224,3 +224,34 @@
 		})
 	})
 }
+
+// TestOutstandingStarts guards against a new leader that starts nothing because it waits for workers
+// that it cannot reach (LOST).
+func TestOutstandingStarts(t *testing.T) {
+	t.Run("runs of a former leader are not outstanding", func(t *testing.T) {
+		runTerm(t, 500, func(te *term) {
+			before := te.startLimit().Normal
+			for i := range 500 {
+				jo := &workload.Job{ID: identifier.Job(fmt.Sprintf("j-%d", i)), Occurrences: 1, Steps: []workload.Step{{Count: 1}}}
+				jo.AddDueStages(0)
+				te.jobs[jo.ID] = &entry{job: jo}
+				jo.Stages[0].Tasks[0] = workload.Task{Phase: workload.Starting, Run: 1, Worker: identifier.Worker(fmt.Sprintf("w-%d", i))}
+				te.workers[jo.Stages[0].Tasks[0].Worker].expectRun(jo.Key(jo.Stages[0], 0), &jo.Stages[0].Tasks[0])
+			}
+			asserter.Equal(t, te.startLimit().Normal, before)
+		})
+	})
+	t.Run("starts that have not left are outstanding, and those without an answer are not", func(t *testing.T) {
+		runTerm(t, 2, func(te *term) {
+			before := te.startLimit().Normal
+			addStartingJob(te, "g", "w-0", "w-1")
+			asserter.Equal(t, te.startLimit().Normal, before-2)
+			for _, wo := range te.workers {
+				for _, pl := range wo.runs {
+					pl.startSent, pl.tries = true, 1
+				}
+			}
+			asserter.Equal(t, te.startLimit().Normal, before)
+		})
+	})
+}
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -166,13 +166,14 @@
 	return in
 }
 
-// startLimit returns how many tasks may be started now. A start that was sent once without an answer is
-// not counted, because it says nothing about the queue.
+// startLimit returns how many tasks may be started now. Only first attempts that this leader has to make
+// are outstanding: what a former leader started, or what was sent without an answer, may wait for its
+// worker for as long as a lease, and says nothing about the queue.
 func (te *term) startLimit() *planner.StartLimit {
 	te.outstanding = 0
 	for _, wo := range te.workers {
 		for _, pl := range wo.runs {
-			if pl.startedAt == 0 && (pl.tries == 0 || pl.tries == 1 && pl.inFlight) {
+			if !pl.startSent || pl.tries == 1 && pl.inFlight && pl.startedAt == 0 {
 				te.outstanding++
 			}
 		}
