--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -32,8 +32,10 @@
 	// unread bytes in socket buffers.
 	memoryShare = 0.7
 	// gcPercent is below the Go default of 100: it spends CPU time to lower the peak
-	// memory, which is what the instance is charged for.
-	gcPercent = 50
+	// memory, which is what the instance is charged for. leaderGCPercent is that of the leader, whose
+	// CPU time is scarcer than its memory.
+	gcPercent       = 50
+	leaderGCPercent = 200
 )
 
 var cmdSchedule = commander.Command{
@@ -78,6 +80,7 @@
 	cl := clock.New()
 	pa := participant.New(set, participant.Dependencies{
 		Clock: cl, Log: log, Metrics: metrics, Tracer: spans, Dial: (&net.Dialer{}).DialContext,
+		LeadershipChanged: collectGarbageAs,
 	})
 	servers, err := listen(set, metricsPort, pa, log)
 	if err != nil {
@@ -105,6 +108,15 @@
 	return spans.Close(context.Background())
 }
 
+// collectGarbageAs sets how often garbage is collected, by whether this instance is the leader.
+func collectGarbageAs(leader bool) {
+	percent := gcPercent
+	if leader {
+		percent = leaderGCPercent
+	}
+	debug.SetGCPercent(percent)
+}
+
 // listen starts the HTTP servers and the peer server on the configured addresses.
 func listen(set member.Settings, metricsPort uint16, pa *participant.Participant, log zerolog.Logger) ([]*http.Server, error) {
 	handlers := []endpoint{
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -128,6 +128,9 @@
 		Clock      Clock
 		Metrics    Metrics
 		Log        zerolog.Logger
+		// LeadershipChanged is called when a term begins and when it has ended; nil means that nobody
+		// wants to know.
+		LeadershipChanged func(leading bool)
 	}
 
 	// Controller acquires the leadership when it is free, and schedules while this instance is
@@ -176,6 +179,12 @@
 	}
 }
 
+func (co *Controller) reportLeadership(leading bool) {
+	if co.LeadershipChanged != nil {
+		co.LeadershipChanged(leading)
+	}
+}
+
 // Run takes part in elections and schedules as the leader until ctx ends. Then it releases the
 // leadership, unless another instance may already be the leader; last limits the time for that.
 func (co *Controller) Run(ctx, last context.Context) {
@@ -198,7 +207,9 @@
 		co.candidate.Store(nil)
 		te := newTerm(co, el)
 		co.term.Store(te)
+		co.reportLeadership(true)
 		te.run(ctx)
+		co.reportLeadership(false)
 		co.term.Store(nil)
 		if ctx.Err() != nil && !te.lost.Load() {
 			el.Release(last)
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -57,9 +57,11 @@
 		// electionDelays holds the election delays of instances by name; 0 if not set.
 		electionDelays map[string]clock.Millis
 		// maxPolls is how many workers an instance that starts may poll at the same time.
-		maxPolls    int
-		cluster     *fleet.Cluster
-		instances   []*instance
+		maxPolls  int
+		cluster   *fleet.Cluster
+		instances []*instance
+		// leads holds the instances that were told that they are the leader, by name.
+		leads       sync.Map
 		config      wire.Config
 		jobsCreated int
 	}
@@ -149,7 +151,8 @@
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeadershipLeaseMillis: 3000,
 		PeerAddress: name, ElectionDelayMillis: ha.electionDelays[name], LeaseMillis: clock.FromDuration(leaseTime), TakeoverTimeoutMillis: clock.FromDuration(takeoverTimeout),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: ha.maxPolls,
-	}, participant.Dependencies{Clock: clock.NewRuntime(), Log: instanceLogger(name), Metrics: instrumenter.New(), Transport: ha.cluster.Transport(name), Tracer: tracer.Nop(), Dial: ha.peers.dial})
+	}, participant.Dependencies{Clock: clock.NewRuntime(), Log: instanceLogger(name), Metrics: instrumenter.New(), Transport: ha.cluster.Transport(name), Tracer: tracer.Nop(), Dial: ha.peers.dial,
+		LeadershipChanged: func(leading bool) { ha.leads.Store(name, leading) }})
 	ln := ha.peers.listen(name)
 	go func() {
 		<-ctx.Done()
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -60,6 +60,9 @@
 		Transport http.RoundTripper
 		// Dial opens connections to other instances.
 		Dial dialer.DialFunc
+		// LeadershipChanged is called when this instance becomes the leader and when it no longer is;
+		// nil means that nobody wants to know.
+		LeadershipChanged func(leading bool)
 	}
 
 	// Participant is one instance of the step job scheduler.
@@ -90,6 +93,7 @@
 		Store: store, Workers: instrumenter.NewWorkers(platform.NewWorkers(de.Transport, de.Clock), de.Metrics, de.Tracer), Policies: pa.follower,
 		Reports:    controller.Reports{Table: platform.WorkerTable, Decode: platform.DecodeReport},
 		WaveStatus: platform.EncodeWaveStatus, Clock: de.Clock, Metrics: de.Metrics, Log: de.Log,
+		LeadershipChanged: de.LeadershipChanged,
 	}
 	if set.AdviceAddress != "" {
 		deps.Advisers = platform.NewAdvice(set.AdviceAddress, de.Transport)
--- a/wagtailcroftd/participant/takeover_test.go
+++ b/wagtailcroftd/participant/takeover_test.go
@@ -273,3 +273,17 @@
 		})
 	})
 }
+
+func TestLeadershipChanged(t *testing.T) {
+	t.Run("an instance is told when it becomes the leader and when it no longer is", func(t *testing.T) {
+		runScenario(t, 2, 1, func(ha *harness) {
+			former := ha.leader()
+			close(ha.instances[former].stop)
+			ha.sleep(3 * time.Second)
+			for i, in := range ha.instances {
+				leads, _ := ha.leads.Load(in.name)
+				asserter.Equal(t, leads, any(i != former))
+			}
+		})
+	})
+}
