Log that a worker has crashed, and which runs it had started how long before

Change: what ran on a worker when it went silent is kept; another worker or incarnation at its address within 30 s proves a crash (workerCrashed, crashSuspected, a counter). A worker that leaves is not recorded. Nothing is decided by it yet.

--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -205,6 +205,9 @@
 		return to, co, before, false
 	}
 	before = *pl
+	if !pl.startSent {
+		pl.sentAt = now
+	}
 	pl.inFlight, pl.startSent, pl.startUncertain, pl.resumed = true, true, true, ta.Checkpoint != ""
 	pl.tries++
 	return wo.target(te.changeBy()), fleet.StartCommand{
@@ -284,7 +287,7 @@
 	defer te.trigger()
 	switch {
 	case eris.Is(err, fleet.ErrNotSent):
-		pl.startSent, pl.startUncertain, pl.resumed, pl.tries = before.startSent, before.startUncertain, before.resumed, before.tries
+		pl.startSent, pl.sentAt, pl.startUncertain, pl.resumed, pl.tries = before.startSent, before.sentAt, before.startUncertain, before.resumed, before.tries
 	case eris.Is(err, fleet.ErrNoAnswer):
 		te.Workers.CloseIdleConnections(to)
 	case eris.Is(err, fleet.ErrLeaseExpired):
--- /dev/null
+++ b/wagtailcroftd/controller/crashes.go
@@ -0,0 +1,82 @@
+package controller
+
+import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+const (
+	// youngRun is the age at its worker's last answer below which a run may be the cause of a crash. A
+	// task that crashes its workers does so soon after its start.
+	youngRun = 4 * clock.Second
+	// newestRun is the age below which a run is the likely cause.
+	newestRun = 1 * clock.Second
+	// crashProofTime is how long after a worker went silent a successor at its address proves that it
+	// crashed. Later the address may have been given to another machine.
+	crashProofTime = 30 * clock.Second
+)
+
+type (
+	// silence is what ran on a worker when it stopped answering. It may be cut off, or it may have crashed;
+	// another incarnation or another worker at its address proves that it crashed.
+	silence struct {
+		worker      identifier.Worker
+		incarnation workload.Incarnation
+		// since is when the worker was first found silent.
+		since clock.Millis
+		// suspects are the runs that may be the cause, if it has crashed.
+		suspects []suspect
+	}
+
+	// suspect is a run that was young when its worker went silent.
+	suspect struct {
+		key workload.TaskKey
+		run meter.RunNumber
+		// sole means that no other run was as new, so that this one is the likely cause.
+		sole bool
+	}
+)
+
+// noteSilence records what runs on a worker that has stopped answering. A worker that is leaving is not
+// recorded, because it ends without a crash.
+func (te *term) noteSilence(wo *worker, now clock.Millis) {
+	if wo.report.Draining || wo.inMaintenance || wo.report.Address == "" {
+		return
+	}
+	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, since: now}
+	newest := 0
+	for key, pl := range wo.runs {
+		if !pl.startSent || wo.clockAt-pl.sentAt > youngRun {
+			continue
+		}
+		sole := wo.clockAt-pl.sentAt <= newestRun
+		if sole {
+			newest++
+		}
+		si.suspects = append(si.suspects, suspect{key: key, run: pl.run, sole: sole})
+	}
+	for i := range si.suspects {
+		si.suspects[i].sole = len(si.suspects) == 1 || si.suspects[i].sole && newest == 1
+	}
+	te.silences[wo.report.Address] = si
+}
+
+// endSilence forgets the silence at an address. If the worker that answers or is reported there is not
+// the one that went silent, that one has crashed.
+func (te *term) endSilence(address string, id identifier.Worker, incarnation workload.Incarnation, now clock.Millis) {
+	si := te.silences[address]
+	if si == nil || si.worker == id && si.incarnation == incarnation {
+		return
+	}
+	delete(te.silences, address)
+	if now-si.since > crashProofTime {
+		return
+	}
+	te.Metrics.Count("workerCrashes", "proven")
+	te.log.Warn().Str("worker", string(si.worker)).Int64("silentMillis", int64(now-si.since)).Int("suspects", len(si.suspects)).Msg("workerCrashed")
+	for _, su := range si.suspects {
+		te.log.Warn().Str("task", su.key.String()).Int64("run", int64(su.run)).Str("worker", string(si.worker)).Bool("sole", su.sole).Msg("crashSuspected")
+	}
+}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -127,6 +127,9 @@
 		te.log.Info().Str("worker", string(wo.id)).Int("failures", wo.failures).Msg("workerRecovered")
 	}
 	wo.failures = 0
+	if si := te.silences[wo.report.Address]; si != nil && si.worker == wo.id && (st.Incarnation == 0 || st.Incarnation == si.incarnation) {
+		delete(te.silences, wo.report.Address) // it was only cut off
+	}
 	if te.applyStatus(wo, st, co, sent, now) || news {
 		te.trigger()
 	}
@@ -137,6 +140,7 @@
 	wo.failures++
 	wo.pollAfter = now + min(firstPollPause<<min(wo.failures, 5), maxPollPause)
 	if wo.failures == 1 {
+		te.noteSilence(wo, now)
 		te.log.Warn().Str("worker", string(wo.id)).Err(err).Int("runs", len(wo.runs)).Msg("workerUnreachable")
 	}
 	if eris.Is(err, fleet.ErrNoAnswer) {
@@ -149,6 +153,7 @@
 func (te *term) applyStatus(wo *worker, st fleet.Status, co fleet.PollCommand, sent, now clock.Millis) bool {
 	runs, orphans, incarnation := len(wo.runs), len(wo.orphans), wo.report.Incarnation
 	if st.Incarnation != 0 && st.Incarnation != wo.report.Incarnation {
+		te.endSilence(wo.report.Address, wo.id, st.Incarnation, now)
 		te.newIncarnation(wo, st.Incarnation)
 		wo.clock, wo.clockAt = st.Clock, now
 	}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -90,6 +90,8 @@
 		earlyCancels map[identifier.Job]clock.Millis
 		// failedWorkers holds the workers on which each job has failed.
 		failedWorkers map[identifier.Job]map[identifier.Worker]bool
+		// silences holds the workers that have stopped answering, by address.
+		silences map[string]*silence
 		// loaded means that all submissions have been read.
 		loaded bool
 		// confirmedAt is when the last successful commit under the fencing token was sent.
@@ -165,6 +167,7 @@
 		predictor:       predictor.New(),
 		pacer:           pacer.New(co.op.GangTimeout / pacePerGangTimeout),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
+		silences:        map[string]*silence{},
 		failedWorkers:   map[identifier.Job]map[identifier.Worker]bool{},
 		confirmedAt:     el.AcquiredAt(),
 		permission:      permission{renewedAt: el.AcquiredAt()},
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -117,6 +117,9 @@
 		resumed bool
 		// startSent means that this leader, or possibly a former one, has sent a start command.
 		startSent bool
+		// sentAt is when this leader sent the first start command, or read the run from the store; 0 means
+		// not yet.
+		sentAt clock.Millis
 		// startUncertain means that a start command without an answer may still be executed.
 		startUncertain bool
 		// startedAt is when the worker confirmed the run; 0 means not yet.
@@ -150,7 +153,7 @@
 
 // expectRun adds a run that the job rows place on the worker.
 func (wo *worker) expectRun(key workload.TaskKey, ta *workload.Task) {
-	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, startUncertain: true, dueSince: ta.PlacedAt, speed: throttler.FullSpeed}
+	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, sentAt: ta.PlacedAt, startUncertain: true, dueSince: ta.PlacedAt, speed: throttler.FullSpeed}
 }
 
 // estimatedClock estimates the reading of the worker's clock at a time of this instance's
@@ -208,7 +211,12 @@
 		te.log.Warn().Err(err).Str("worker", row.Name).Msg("workerReportInvalid")
 		return
 	}
+	now := te.Clock.Now()
 	wo := te.ensureWorker(id)
+	if wo.contacted && wo.report.Incarnation != re.Incarnation && te.silences[wo.report.Address] == nil {
+		te.noteSilence(wo, now) // it has restarted before its silence was noticed
+	}
+	te.endSilence(re.Address, id, re.Incarnation, now)
 	te.mark(wo)
 	before := wo.report
 	wo.report, wo.listed = re, true
