Count the crashes of workers with the tasks that may be the cause, and give these up

Class: a fault is attributed to the worker that shows it and never to the work. Change: a proven crash counts with the runs that were under 4 s old at the worker's last answer, more if one alone was under 1 s old; the count is stored with the task and a job fails at two crashes of which one has no other likely cause, or at three. A suspect gets an empty worker where there is one, other work avoids it, and the suspects of a step are tried one at a time. Runs that are older, and workers that only were cut off, count nothing.

--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -8,6 +8,9 @@
 const (
 	// suspectPenalty exceeds any other score, so that suspect workers come last.
 	suspectPenalty = 10.0
+	// isolationPenalty exceeds the scores of capacity and racks, so that a task that may crash its worker
+	// shares one only if it must, least of all with another such task.
+	isolationPenalty = 5.0
 
 	// unlimited is the number of tasks per worker of a step without a spread limit.
 	unlimited = 1 << 30
@@ -80,6 +83,7 @@
 			if sl.worker.Suspect {
 				score += suspectPenalty
 			}
+			score += isolationPenalty * isolation(ca, sl)
 			if best < 0 || score < lowest {
 				best, lowest = i, score
 			}
@@ -94,6 +98,19 @@
 	return found
 }
 
+// isolation returns how much a candidate should avoid a slot, from 0 to 2, because it or a run there may
+// crash the worker.
+func isolation(ca candidate, sl *slot) float64 {
+	avoid := 0.0
+	if sl.unproven > 0 {
+		avoid++
+	}
+	if ca.suspect && sl.occupied > 0 {
+		avoid++
+	}
+	return avoid
+}
+
 // rackDistance returns how far a slot is, from 0 to 1, from the end of the rack order that
 // is preferred for the candidate's class of work: the first racks for urgent work, the last
 // for other work. The separation keeps long-lived work from fragmenting the resources that
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -148,6 +148,8 @@
 		rank    int
 		indexes []int
 		order   int
+		// suspect means that the tasks that are being placed may crash their workers.
+		suspect bool
 		// group tells whether the work can meet its objective, and sortKey orders the work
 		// within its group. In both, the lower value comes first.
 		group   lateness
@@ -177,7 +179,7 @@
 			continue
 		}
 		for _, st := range jo.Stages {
-			indexes := startable(jo, st)
+			indexes := ro.startable(jo, st)
 			if len(indexes) == 0 || !jo.Ready(st) {
 				continue
 			}
@@ -198,14 +200,35 @@
 }
 
 // startable returns the indexes of the tasks of a stage that may be started. A gang may be
-// started only if none of its members has a run.
-func startable(jo *workload.Job, st *workload.Stage) []int {
-	if jo.StepOf(st).Gang && !st.Idle() {
-		return nil
+// started only if none of its members has a run. Of the tasks under which workers have crashed, one at a
+// time is tried again, because all tasks of a step do the same.
+func (ro *round) startable(jo *workload.Job, st *workload.Stage) []int {
+	if jo.StepOf(st).Gang {
+		if !st.Idle() {
+			return nil
+		}
+		return waiting(st, false)
+	}
+	for i := range st.Tasks {
+		if st.Tasks[i].CrashWeight > 0 && st.Unproven(i, false, ro.in.Now) {
+			return waiting(st, true)
+		}
+	}
+	indexes := waiting(st, true)
+	for i := range st.Tasks {
+		if st.Tasks[i].Phase == workload.Waiting && st.Tasks[i].CrashWeight > 0 {
+			return append(indexes, i)
+		}
 	}
+	return indexes
+}
+
+// waiting returns the indexes of the waiting tasks, without those under which workers have crashed if
+// trusted is set.
+func waiting(st *workload.Stage, trusted bool) []int {
 	var indexes []int
 	for i := range st.Tasks {
-		if st.Tasks[i].Phase == workload.Waiting {
+		if st.Tasks[i].Phase == workload.Waiting && (!trusted || st.Tasks[i].CrashWeight == 0) {
 			indexes = append(indexes, i)
 		}
 	}
--- a/decisions/planner/planner_test.go
+++ b/decisions/planner/planner_test.go
@@ -362,3 +362,56 @@
 		asserter.Equal(t, starts(pl, second), 4)
 	})
 }
+
+// TestCrashSuspects guards against tasks that take others with them when they crash their worker
+// (BUDGET, LOST).
+func TestCrashSuspects(t *testing.T) {
+	plan := func(fx *fixture) planner.Plan { return planner.New(planner.Completion).Plan(fx.Input) }
+	placedOn := func(pl planner.Plan, jo *workload.Job) (ids []identifier.Worker) {
+		for _, st := range pl.Starts {
+			for _, at := range st.Placements {
+				if st.Job == jo {
+					ids = append(ids, at.Worker)
+				}
+			}
+		}
+		return ids
+	}
+	suspects := func(fx *fixture, count int) *workload.Job {
+		jo := fx.add(batch, "a", step(count, 1))
+		for i := range count {
+			jo.Stages[0].Tasks[i] = workload.Task{Run: 1, CrashWeight: workload.SharedSuspect, CrashedRun: 1}
+		}
+		return jo
+	}
+	t.Run("a suspect gets an empty worker", func(t *testing.T) {
+		fx := newFixture(4, 2)
+		fx.run(fx.add(batch, "a", step(3, 1)), 0, 1, 3)
+		jo := suspects(fx, 1)
+		asserter.Equal(t, placedOn(plan(fx), jo)[0], fx.Workers[2].ID)
+	})
+	t.Run("of several suspects of a step one is tried at a time", func(t *testing.T) {
+		fx := newFixture(4, 2)
+		jo := suspects(fx, 3)
+		asserter.Equal(t, starts(plan(fx), jo), 1)
+		jo.Stages[0].Tasks[0] = workload.Task{Phase: workload.Running, Run: 2, Worker: fx.Workers[0].ID, PlacedAt: fx.Now - 1000, CrashWeight: 1}
+		asserter.Equal(t, starts(plan(fx), jo), 0)
+		jo.Stages[0].Tasks[0].PlacedAt = fx.Now - 10_000
+		asserter.Equal(t, starts(plan(fx), jo), 1)
+	})
+	t.Run("other work avoids a worker with a suspect, and shares it where it must", func(t *testing.T) {
+		fx := newFixture(2, 2)
+		jo := suspects(fx, 1)
+		jo.Stages[0].Tasks[0].Phase, jo.Stages[0].Tasks[0].Worker, jo.Stages[0].Tasks[0].PlacedAt = workload.Running, fx.Workers[0].ID, fx.Now-1000
+		small, large := fx.add(batch, "a", step(1, 1)), fx.add(batch, "a", step(1, 7))
+		pl := plan(fx)
+		asserter.Equal(t, placedOn(pl, small)[0], fx.Workers[1].ID)
+		asserter.Equal(t, starts(pl, large), 1)
+	})
+	t.Run("a suspect is placed even if no worker is empty", func(t *testing.T) {
+		fx := newFixture(2, 2)
+		fx.run(fx.add(batch, "a", step(2, 1)), 0, 1)
+		jo := suspects(fx, 1)
+		asserter.Equal(t, starts(plan(fx), jo), 1)
+	})
+}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -76,6 +76,9 @@
 		held bool
 		// planned is the number of tasks of each stage that the plan places here.
 		planned map[*workload.Stage]int
+		// occupied is the number of runs here and of tasks that the plan places here, and unproven that of
+		// those that may crash the worker.
+		occupied, unproven int
 	}
 
 	// run is a run that may be preempted.
@@ -167,6 +170,10 @@
 	}
 	req := ru.job.StepOf(ru.stage).Reserved()
 	sl.free = sl.free.Sub(req)
+	sl.occupied++
+	if ru.stage.Unproven(ru.index, ru.job.StepOf(ru.stage).Gang, ro.in.Now) {
+		sl.unproven++
+	}
 	if ta.Phase == workload.Stopping {
 		return
 	}
@@ -196,6 +203,7 @@
 	if !ro.mayStart(ca, 1) {
 		return false
 	}
+	ca.suspect = ca.stage.Suspect(indexes[0], ca.step.Gang)
 	cannotFit := ro.cannotFit(ca, len(indexes))
 	mayPreempt := ca.queue.Priority == 0 && ro.preemptionSearches < maxPreemptionSearches
 	mayHold := ca.step.Gang && ro.holdSearches < maxHoldSearches && !ro.holdLimitReached(0)
@@ -300,6 +308,10 @@
 			sl.planned = map[*workload.Stage]int{}
 		}
 		sl.planned[ca.stage]++
+		sl.occupied++
+		if ca.suspect {
+			sl.unproven++
+		}
 	}
 }
 
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -163,6 +163,13 @@
 		Failures    int
 		// Checkpoint is the latest checkpoint; empty means none.
 		Checkpoint string
+		// CrashWeight is how strongly crashes of workers point to the task; that of a gang is with its first
+		// member. CrashedRun is the highest run that it includes.
+		CrashWeight CrashWeight
+		CrashedRun  meter.RunNumber
+		// Silenced means that the worker went silent soon after the last run had started, and is not known
+		// to have crashed. It is not stored.
+		Silenced bool
 		// FailedOn is the worker on which the task last failed. It is not stored.
 		FailedOn identifier.Worker
 		// PlacedAt is when the run was placed or, if that is later, when this scheduler read
--- a/decisions/workload/workload_test.go
+++ b/decisions/workload/workload_test.go
@@ -187,3 +187,60 @@
 		asserter.Equal(t, ok, false)
 	}
 }
+
+// TestRecordCrash guards against a task that is started without limit although workers crash under it
+// (BUDGET), and against one that is given up for the crashes of others (LOST).
+func TestRecordCrash(t *testing.T) {
+	crash := func(jo *workload.Job, index int, weight workload.CrashWeight) bool {
+		st := jo.Stage(0, 0)
+		changed := jo.RecordCrash(jo.Key(st, index), st.Tasks[index].Run, weight)
+		complete(jo, 0, index, workload.OutcomeWorkerLost, 3)
+		start(jo, 0)
+		return changed
+	}
+	t.Run("the sole suspect fails at the second crash", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 2})
+		start(jo, 0)
+		asserter.Equal(t, crash(jo, 0, workload.SoleSuspect), true)
+		asserter.Equal(t, jo.State, workload.Queued)
+		crash(jo, 0, workload.SharedSuspect)
+		asserter.Equal(t, jo.State, workload.Failed)
+	})
+	t.Run("a shared suspect fails at the third crash", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 2})
+		start(jo, 0)
+		for range 2 {
+			crash(jo, 0, workload.SharedSuspect)
+			asserter.Equal(t, jo.State, workload.Queued)
+		}
+		crash(jo, 0, workload.SharedSuspect)
+		asserter.Equal(t, jo.State, workload.Failed)
+	})
+	t.Run("crashes of different tasks do not add up", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 2})
+		start(jo, 0)
+		crash(jo, 0, workload.SoleSuspect)
+		crash(jo, 1, workload.SoleSuspect)
+		asserter.Equal(t, jo.State, workload.Queued)
+	})
+	t.Run("the crashes under one run of a gang count once", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 3, Gang: true})
+		start(jo, 0)
+		st := jo.Stage(0, 0)
+		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 1), 1, workload.SoleSuspect), true)
+		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 2), 1, workload.SoleSuspect), false)
+		asserter.Equal(t, jo.State, workload.Queued)
+		start(jo, 0)
+		jo.RecordCrash(jo.Key(st, 2), 2, workload.SharedSuspect)
+		asserter.Equal(t, jo.State, workload.Failed)
+	})
+	t.Run("a crash that is proven after the next start still counts, once", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 1})
+		start(jo, 0)
+		start(jo, 0)
+		st := jo.Stage(0, 0)
+		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 0), 1, workload.SoleSuspect), true)
+		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 0), 1, workload.SoleSuspect), false)
+		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 0), 3, workload.SoleSuspect), false)
+	})
+}
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -197,6 +197,12 @@
 
 // Task A task that has been started and is not done. Worker, incarnation and run describe its most recent run.
 type Task struct {
+	// CrashWeight How strongly crashes of workers point to the task; that of a gang is with its first member.
+	CrashWeight int `json:"crashWeight,omitempty"`
+
+	// CrashedRun Highest run number that is included in crashWeight.
+	CrashedRun int64 `json:"crashedRun,omitempty"`
+
 	// Failures Number of failed runs.
 	Failures int `json:"failures,omitempty"`
 
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -50,6 +50,8 @@
 		RunTime time.Duration
 		// FailedRuns is the number of runs that fail before one succeeds.
 		FailedRuns int
+		// Deadly means that each runner that starts one of the tasks crashes.
+		Deadly bool
 	}
 
 	// Job is a job as submitted by a client, and how its tasks behave.
@@ -90,13 +92,13 @@
 // New returns a cluster whose runners are up and listed in the store.
 func New(op Options) *Cluster {
 	cl := &Cluster{Store: NewStore(), op: op, jobs: map[string]Job{}, gangs: map[string]*gang{}}
-	cl.oracle = &oracle{cluster: cl, acknowledged: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}}
+	cl.oracle = &oracle{cluster: cl, acknowledged: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}, crashes: map[workload.TaskKey]int{}, startsAfterCrashes: map[workload.TaskKey]int{}}
 	cl.Advice = &Advice{cluster: cl, issued: map[string]time.Time{}}
 	cl.machines = &machines{cluster: cl, fences: map[string]int64{}, maintenances: map[string]int{}}
 	cl.faults.init()
 	for i := range op.RunnerCount {
 		ru := &Runner{
-			cluster: cl, id: fmt.Sprintf("w-%02d", i), address: fmt.Sprintf("runner-%02d:1", i),
+			cluster: cl, id: fmt.Sprintf("w-%02d", i), name: fmt.Sprintf("w-%02d", i), address: fmt.Sprintf("runner-%02d:1", i),
 			zone: fmt.Sprintf("z%d", i%2), rack: fmt.Sprintf("r-%d", i/max(op.RunnersPerRack, 1)), capacity: op.Capacity, enforcesCapacity: op.EnforcesCapacity,
 		}
 		if i < len(op.Addresses) {
--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -44,6 +44,9 @@
 	refused map[string]bool
 	// drainingSince maps each draining runner to the time of its report.
 	drainingSince map[*Runner]time.Time
+	// crashes is the number of runners that have crashed under each task, and startsAfterCrashes how often
+	// it was started after the tolerated ones.
+	crashes, startsAfterCrashes map[workload.TaskKey]int
 	// completed contains the units that have completed as done, whether acknowledged or not.
 	completed  map[string]bool
 	violations []string
@@ -86,6 +89,7 @@
 		ora.reportViolation("LIMIT", "%s requests %v, but only %v is free on %s", rs.Task, resourceRequest(step), ru.free(), ru.id)
 	}
 	ora.checkSingleRun(key, rs)
+	ora.checkCrashes(key)
 	for _, after := range step.DependsOn {
 		for i := range jo.Body.Steps[after].Count {
 			earlier := workload.TaskKey{Job: key.Job, Occurrence: key.Occurrence, Step: after, Index: i}
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -23,8 +23,11 @@
 type (
 	// Runner is a simulated runner. All runners of a cluster share the mutex of the cluster.
 	Runner struct {
-		cluster  *Cluster
-		id       string
+		cluster *Cluster
+		// id is that of the present life; it is name until the runner has crashed under a task, lives
+		// times.
+		id, name string
+		lives    int
 		address  string
 		zone     string
 		rack     string
@@ -224,6 +227,9 @@
 		}
 	}
 	ru.runs[rs.Task] = rn
+	if ru.cluster.behavior(key).Deadly {
+		ru.crashSoon(key)
+	}
 	if ru.cluster.inGang(key) {
 		ru.cluster.joinGang(ru, rn)
 		return
--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -77,6 +79,32 @@
 	te.Metrics.Count("workerCrashes", "proven")
 	te.log.Warn().Str("worker", string(si.worker)).Int64("silentMillis", int64(now-si.since)).Int("suspects", len(si.suspects)).Msg("workerCrashed")
 	for _, su := range si.suspects {
-		te.log.Warn().Str("task", su.key.String()).Int64("run", int64(su.run)).Str("worker", string(si.worker)).Bool("sole", su.sole).Msg("crashSuspected")
+		te.blame(si.worker, su)
 	}
+	te.trigger()
+}
+
+// blame records the crash of a worker with a task that may be the cause.
+func (te *term) blame(id identifier.Worker, su suspect) {
+	en := te.jobs[su.key.Job]
+	te.log.Warn().Str("task", su.key.String()).Int64("run", int64(su.run)).Str("worker", string(id)).Bool("sole", su.sole).Msg("crashSuspected")
+	weight := workload.SharedSuspect
+	if su.sole {
+		weight = workload.SoleSuspect
+	}
+	if en == nil || !en.job.RecordCrash(su.key, su.run, weight) {
+		return
+	}
+	en.dirty = true
+	if en.job.State == workload.Failed {
+		te.Metrics.Count("jobs", en.job.State.String())
+		te.log.Info().Str("job", string(su.key.Job)).Str("state", en.job.State.String()).Str("why", en.job.Reason).Msg("jobEnded")
+		te.markStops(en.job)
+	}
+}
+
+// silenced reports whether a run was young when its worker went silent.
+func (te *term) silenced(wo *worker, key workload.TaskKey, run meter.RunNumber) bool {
+	si := te.silences[wo.report.Address]
+	return si != nil && si.worker == wo.id && slices.ContainsFunc(si.suspects, func(su suspect) bool { return su.key == key && su.run == run })
 }
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -309,6 +309,7 @@
 		return
 	}
 	en.dirty = true
+	ta.Silenced = co.Outcome == workload.OutcomeLeaseExpired && te.silenced(wo, key, co.Run)
 	te.Metrics.Count("ends", co.Outcome.String())
 	te.trackFailures(wo, key.Job, co.Outcome)
 	if step := en.job.StepOf(st); co.Outcome == workload.OutcomeDone && pl != nil && pl.startedAt > 0 && !pl.resumed && !step.LongRunning {
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -132,7 +132,7 @@
 			started = true
 			out.Tasks = append(out.Tasks, ledger.Task{
 				Index: i, Phase: int(ta.Phase), Run: int64(ta.Run), Worker: ta.Worker, Incarnation: int64(ta.Incarnation),
-				Failures: ta.Failures, Checkpoint: ta.Checkpoint,
+				Failures: ta.Failures, CrashWeight: int(ta.CrashWeight), CrashedRun: int64(ta.CrashedRun), Checkpoint: ta.Checkpoint,
 			})
 		}
 	}
@@ -199,7 +199,7 @@
 		}
 		sg.Tasks[ta.Index] = workload.Task{
 			Phase: workload.Phase(ta.Phase), Run: meter.RunNumber(ta.Run), Worker: ta.Worker, Incarnation: workload.Incarnation(ta.Incarnation),
-			Failures: ta.Failures, Checkpoint: ta.Checkpoint,
+			Failures: ta.Failures, CrashWeight: workload.CrashWeight(ta.CrashWeight), CrashedRun: meter.RunNumber(ta.CrashedRun), Checkpoint: ta.Checkpoint,
 		}
 	}
 	return nil
--- a/wagtailcroftd/recorder/recorder_test.go
+++ b/wagtailcroftd/recorder/recorder_test.go
@@ -25,7 +25,7 @@
 	for i := range sg.Tasks {
 		sg.Tasks[i] = workload.Task{Phase: workload.Done}
 	}
-	sg.Tasks[7] = workload.Task{Phase: workload.Stopping, Run: 3, Worker: "w", Incarnation: 9, Failures: 1, Checkpoint: "s"}
+	sg.Tasks[7] = workload.Task{Phase: workload.Stopping, Run: 3, Worker: "w", Incarnation: 9, Failures: 1, CrashWeight: 1, CrashedRun: 2, Checkpoint: "s"}
 	t.Run("a decoded job equals the encoded one", func(t *testing.T) {
 		got, err := recorder.DecodeJob(jo.ID, recorder.EncodeSubmission(jo), recorder.EncodeProgress(jo, 0))
 		asserter.NoError(t, err)
