Start a run only if its worker's capacity still suffices at its turn

Cause: a start that had been planned before its worker's capacity shrank, and waited in the queue, left all the same (LIMIT). Class: a decision taken before a wait and acted on after it. Change: at its turn a start is given up and planned again if all that is placed on the worker, also what is being stopped, exceeds the capacity that the worker reports now. Measured: TestShrunkCapacity failed before (two starts, one of them over the capacity) and passes.

--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -7,6 +7,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/platform/wire"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -215,6 +216,15 @@
 	}
 }
 
+// SetAccelerators changes the number of accelerators of a runner while it runs.
+func (cl *Cluster) SetAccelerators(at int, count meter.Accelerators) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	ru := cl.runners[at]
+	ru.capacity.Accelerators = count
+	cl.Store.Put("servers", ru.id, ru.entry())
+}
+
 // SetRunnerFaults sets whether a runner fails all runs that it starts, and whether it
 // refuses all starts.
 func (cl *Cluster) SetRunnerFaults(at int, failing, refusing bool) {
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -193,15 +193,13 @@
 	if !te.mayStart(wo, pl, ta, now) || te.gangExpired(key.Job, st, pl, ta, now) {
 		return to, co, before, false
 	}
+	if !te.fits(wo) {
+		te.skipStart(wo, key, pl, "the worker's capacity has shrunk")
+		return to, co, before, false
+	}
 	ticket, ok := te.ticketFor(wo, key, now)
 	if !ok {
-		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "no valid ticket from the advice service").Msg("startSkipped")
-		if pl.startSent {
-			te.stopTask(key)
-		} else {
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
-		}
-		te.trigger()
+		te.skipStart(wo, key, pl, "no valid ticket from the advice service")
 		return to, co, before, false
 	}
 	before = *pl
@@ -216,6 +214,29 @@
 	}, before, true
 }
 
+// skipStart gives up a run whose turn has come, so that its task is planned again.
+func (te *term) skipStart(wo *worker, key workload.TaskKey, pl *placement, why string) {
+	te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", why).Msg("startSkipped")
+	if pl.startSent {
+		te.stopTask(key)
+	} else {
+		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+	}
+	te.trigger()
+}
+
+// fits reports whether the runs that are placed on a worker, also those that are being stopped, fit into
+// its capacity, which may have shrunk since they were planned.
+func (te *term) fits(wo *worker) bool {
+	left := wo.report.Capacity
+	for key := range wo.runs {
+		if step := te.stepOf(key); step != nil {
+			left = left.Sub(step.Reserved())
+		}
+	}
+	return left.Fits(workload.Resources{})
+}
+
 // ticketFor returns the ticket for a start, or an empty ticket where none is needed. It returns
 // false if a ticket is needed and there is no valid one.
 func (te *term) ticketFor(wo *worker, key workload.TaskKey, now clock.Millis) (string, bool) {
--- a/wagtailcroftd/controller/dispatch_test.go
+++ b/wagtailcroftd/controller/dispatch_test.go
@@ -18,12 +18,17 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
 )
 
-// gangTimeout is how long the members of a gang wait for each other on their workers.
-const gangTimeout = 1800 * clock.Millis(1)
+const (
+	// gangTimeout is how long the members of a gang wait for each other on their workers.
+	gangTimeout = 1800 * clock.Millis(1)
+	// accelerators is what each task requests, and workerAccelerators what a worker has.
+	accelerators, workerAccelerators = 3, 8
+)
 
 type (
 	// answeringWorkers answer each start and no poll.
@@ -83,7 +88,7 @@
 				Store: st, Workers: &answeringWorkers{cl: cl}, Peers: quietPeers{}, Policies: noPolicies{}, Clock: cl,
 				Log: zerolog.Nop(), Metrics: quietMetrics{},
 				Reports: Reports{Decode: func(name string, _ []byte) (fleet.Report, error) {
-					return fleet.Report{ID: identifier.Worker(name), Address: name}, nil
+					return fleet.Report{ID: identifier.Worker(name), Address: name, Capacity: workload.Resources{Accelerators: workerAccelerators}}, nil
 				}},
 			},
 			op: Options{MaxPolls: 1, GangTimeout: gangTimeout},
@@ -132,7 +137,9 @@
 // addStartingJob adds a job, a gang if it has several tasks, that is recorded as starting on workers that
 // have answered. Its starts are not dispatched yet.
 func addStartingJob(te *term, id identifier.Job, on ...identifier.Worker) {
-	jo := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{Count: len(on), Gang: len(on) > 1}}}
+	jo := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{
+		Count: len(on), Gang: len(on) > 1, Request: workload.Resources{Accelerators: accelerators},
+	}}}
 	jo.AddDueStages(0)
 	te.jobs[id] = &entry{job: jo}
 	start := planner.Start{Job: jo, Stage: jo.Stages[0]}
@@ -255,3 +262,40 @@
 		})
 	})
 }
+
+// TestShrunkCapacity guards against a start that was planned before its worker's capacity shrank and
+// leaves after it (LIMIT).
+func TestShrunkCapacity(t *testing.T) {
+	for name, ex := range map[string]struct {
+		capacity meter.Accelerators
+		starts   int32
+	}{"it has shrunk below what runs there": {4, 1}, "it still suffices": {6, 2}} {
+		t.Run(name, func(t *testing.T) {
+			runTerm(t, 1, func(te *term) {
+				go te.runDispatcher()
+				time.Sleep((passInterval * 3 / 2).Duration()) // between two passes
+				te.mu.Lock()
+				wo := te.workers["w-0"]
+				addStartingJob(te, "a", "w-0")
+				te.mark(wo)
+				te.mu.Unlock()
+				synctest.Wait()
+				for range commandWorkers {
+					asserter.NoError(t, te.commands.Submit(true, func() { time.Sleep(500 * time.Millisecond) }))
+				}
+				te.mu.Lock()
+				addStartingJob(te, "b", "w-0")
+				te.mark(wo)
+				te.mu.Unlock()
+				synctest.Wait()
+				te.mu.Lock()
+				wo.report.Capacity.Accelerators = ex.capacity
+				te.mu.Unlock()
+				keepLeading(te, 2)
+				wk, _ := te.Workers.(*answeringWorkers)
+				asserter.Equal(t, wk.starts.Load(), ex.starts)
+				asserter.Equal(t, len(wo.runs), int(ex.starts))
+			})
+		})
+	}
+}
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
 )
 
@@ -199,6 +200,17 @@
 			}
 		})
 	})
+	t.Run("a worker whose capacity shrinks and grows again gets as much work as it has room for", func(t *testing.T) {
+		runScenario(t, 3, 1, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(2), tasks(40, 1)))
+			for _, count := range []meter.Accelerators{8, 3, 8} {
+				ha.cluster.SetAccelerators(0, count)
+				ha.sleep(3 * time.Second) // the runs of before have ended
+				asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), int(count))
+			}
+			ha.awaitState(0, jo, "completed", 12*time.Second)
+		})
+	})
 	t.Run("a worker that fails every run does not use up the attempts of jobs", func(t *testing.T) {
 		runScenario(t, 3, 4, func(ha *harness) {
 			ha.cluster.SetRunnerFaults(0, true, false)
