Let a new leader wait for one lease only, once the former leader's term has certainly ended

Class: a constant where the answer can be asked for. Change: the new leader asks the former one's process, which names its incarnation and the last of its terms that has ended; with that, only a lease is waited for. The row tells whether all leaders before had ended too (settled), since one that is cut off may still grant leases two changes later. A refused connection proves nothing.

--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -56,6 +56,9 @@
 
 	// Renewals Increases with each renewal.
 	Renewals int64 `json:"renewals"`
+
+	// Settled The terms of all former leaders have certainly ended.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Member Table members, key INSTANCE. Written by each instance when it starts, so that other instances can call it.
--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -42,6 +42,12 @@
 
 // InstanceReply The answer to a Ping or a LeadershipTransfer; names the answering instance.
 type InstanceReply struct {
+	// EndedFence Fencing token of the last term of the answering process that has ended; 0 means none.
+	EndedFence externalRef0.LeaseEpoch `json:"endedFence,omitempty"`
+
+	// Incarnation Incarnation of the answering process.
+	Incarnation string `json:"incarnation,omitempty"`
+
 	// Instance Identifies an instance.
 	Instance externalRef0.InstanceID `json:"instance"`
 }
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -54,6 +54,9 @@
 		// OfferTransfer asks one that has more CPU to acquire the leadership, and reports whether
 		// there is one; it does not wait.
 		OfferTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) bool
+		// TermEnded reports whether a leader's term has certainly ended, so that no command of it leaves
+		// any more.
+		TermEnded(ctx context.Context, leader ledger.Leader) bool
 	}
 
 	// Advisers tells which workers may run the steps of the queues that use the advice service.
@@ -141,6 +144,8 @@
 		planner *planner.Planner
 		// term is nil while this instance is not the leader.
 		term atomic.Pointer[term]
+		// endedFence is the fencing token of the last term of this process that has ended.
+		endedFence atomic.Int64
 		// candidate takes part in the election; it is nil while this instance is the leader.
 		candidate atomic.Pointer[elector.Elector]
 	}
@@ -171,6 +176,9 @@
 // Leading reports whether this instance is the leader.
 func (co *Controller) Leading() bool { return co.term.Load() != nil }
 
+// EndedFence returns the fencing token of the last term of this process that has ended; 0 means none.
+func (co *Controller) EndedFence() meter.LeaseEpoch { return meter.LeaseEpoch(co.endedFence.Load()) }
+
 // AcceptTransfer makes this instance acquire the leadership from a leader that requests a
 // transfer, unless this instance is the leader itself.
 func (co *Controller) AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64) {
@@ -209,6 +217,7 @@
 		co.term.Store(te)
 		co.reportLeadership(true)
 		te.run(ctx)
+		co.endedFence.Store(int64(te.fence))
 		co.reportLeadership(false)
 		co.term.Store(nil)
 		if ctx.Err() != nil && !te.lost.Load() {
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -48,6 +48,8 @@
 
 func (quietPeers) AwaitExit(ctx context.Context, _ string) bool { <-ctx.Done(); return false }
 
+func (quietPeers) TermEnded(context.Context, ledger.Leader) bool { return false }
+
 func (quietPeers) Ping(context.Context, string) bool { return true }
 
 func (quietMetrics) Count(string, string) {}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -38,6 +38,8 @@
 	minRoundPause = 15 * clock.Millis(1)
 	// maxRoundInterval is the longest wait for a trigger before a round starts anyway.
 	maxRoundInterval = 250 * clock.Millis(1)
+	// formerEndPause is the pause between two questions whether the former leader's term has ended.
+	formerEndPause = 300 * clock.Millis(1)
 	// followWait is how long the store may wait for a change of a table before it answers. A
 	// connection can stop answering without an error; with the tailer's slack this is detected
 	// within the 2 s in which a draining worker must stop getting new work.
@@ -65,6 +67,10 @@
 		roundTrigger    chan struct{}
 		dispatchTrigger chan struct{}
 		startedAt       clock.Millis
+		// formerEndsBy is when no former leader can grant a lease any more. settled means that this time
+		// has come. Both are guarded by mu.
+		formerEndsBy clock.Millis
+		settled      bool
 		// lost is set once, before the term ends, when another instance may be the leader.
 		lost atomic.Bool
 
@@ -160,6 +166,7 @@
 		roundTrigger:    make(chan struct{}, 1),
 		dispatchTrigger: make(chan struct{}, 1),
 		startedAt:       now,
+		formerEndsBy:    now + maxUnconfirmed,
 		mu:              locker.New(locker.RankZone),
 		jobs:            map[identifier.Job]*entry{},
 		workers:         map[identifier.Worker]*worker{},
@@ -191,6 +198,7 @@
 	wg.Go(te.sweep)
 	wg.Go(te.runDispatcher)
 	wg.Go(te.offerTransfers)
+	wg.Go(te.awaitFormerEnd)
 	if te.Machines != nil {
 		wg.Go(te.runMaintenance)
 	}
@@ -199,6 +207,35 @@
 	wg.Wait()
 }
 
+// awaitFormerEnd waits until the terms of all former leaders have certainly ended, so that no leases are
+// granted on workers that this leader cannot reach. The last of them tells whether it was the only one
+// left.
+func (te *term) awaitFormerEnd() {
+	former := te.leadership.Former()
+	for te.ctx.Err() == nil {
+		now := te.Clock.Now()
+		ended := former == nil || former.Settled && te.hasEnded(*former)
+		te.mu.Lock()
+		if ended {
+			te.formerEndsBy = min(te.formerEndsBy, te.Clock.Now())
+		}
+		te.settled = ended || now >= te.formerEndsBy
+		settled := te.settled
+		te.mu.Unlock()
+		if settled {
+			te.log.Info().Int64("waitedMillis", int64(now-te.startedAt)).Msg("formerTermEnded")
+			return
+		}
+		clock.Sleep(te.ctx, te.Clock, formerEndPause)
+	}
+}
+
+// hasEnded reports whether the term of a former leader has certainly ended. A process releases the
+// leadership after its term, and takes it from a former process of its own instance after that one's end.
+func (te *term) hasEnded(former ledger.Leader) bool {
+	return former.Instance == "" || former.Instance == te.op.Instance || te.Peers.TermEnded(te.ctx, former)
+}
+
 func (te *term) follow(wg *sync.WaitGroup, table rowstore.Table, batchDelay clock.Millis, ha tailer.Handler) {
 	ta := tailer.New(te.Store, table, tailer.Timing{Wait: followWait, BatchDelay: batchDelay}, te.Clock, te.log)
 	wg.Go(func() { ta.Run(te.ctx, ha) })
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -164,7 +164,7 @@
 // expired. A worker that has not answered this leader may have leases from the former leader.
 func (te *term) leasesExpired(wo *worker, now clock.Millis) bool {
 	if !wo.contacted {
-		return now-te.startedAt > maxUnconfirmed+maxElapsed(te.op.LeaseDuration)
+		return now-te.formerEndsBy > maxElapsed(te.op.LeaseDuration)
 	}
 	return now-wo.clockAt > maxElapsed(wo.leaseEnd-wo.clock)
 }
--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -94,6 +94,8 @@
 		// leader is nil while the row is absent.
 		leader  *ledger.Leader
 		version meter.RowVersion
+		// former is the row that this instance replaced when it became the leader; nil if there was none.
+		former *ledger.Leader
 		// acquiredAt is when the transaction that made this instance the leader was first sent.
 		acquiredAt clock.Millis
 		// suspicion is the last report that a leader has failed. It is ignored unless it
@@ -123,6 +125,9 @@
 // took effect at this time or later.
 func (el *Elector) AcquiredAt() clock.Millis { return el.acquiredAt }
 
+// Former returns the row that this instance replaced when it became the leader; nil if there was none.
+func (el *Elector) Former() *ledger.Leader { return el.former }
+
 // RecordRenewal records the row that this instance has written as the leader.
 func (el *Elector) RecordRenewal(next ledger.Leader, version meter.RowVersion) {
 	el.setRow(&next, version)
@@ -286,6 +291,7 @@
 	el.metrics.Count("takeovers", reason)
 	el.log.Info().Str("why", reason).Str("former", string(previous)).Int64("fence", int64(next.Fence)).
 		Int64("unchangedMillis", int64(el.unchangedFor())).Msg("leadershipAcquired")
+	el.former = el.leader
 	el.setRow(&next, version)
 	return true
 }
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -70,12 +70,16 @@
 		// AcceptTransfer makes this instance acquire leadership from the leader with a fencing
 		// token, until the leader's row has the given number of renewals.
 		AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64)
+		// EndedFence returns the fencing token of the last term of this process that has ended.
+		EndedFence() meter.LeaseEpoch
 	}
 
 	// Options are the settings and dependencies of a messenger.
 	Options struct {
 		Instance identifier.Instance
-		Zone     identifier.Zone
+		// Incarnation identifies this process.
+		Incarnation string
+		Zone        identifier.Zone
 		// Address is the address at which this instance answers others; empty means that it
 		// does not answer.
 		Address string
@@ -188,15 +192,32 @@
 	return false
 }
 
-// Ping reports whether the process at an address answers a ping. It opens a new connection,
-// because an existing one may be dead without having been closed.
+// Ping reports whether the process at an address answers a ping.
 func (me *Messenger) Ping(ctx context.Context, address string) bool {
+	_, err := me.ping(ctx, address)
+	return err == nil
+}
+
+// TermEnded reports whether a leader's term has certainly ended: its process says so, or has been
+// replaced by another one. A refused connection proves nothing, because a partition may refuse it too.
+func (me *Messenger) TermEnded(ctx context.Context, leader ledger.Leader) bool {
+	reply, err := me.ping(ctx, leader.Address)
+	if err != nil {
+		return false
+	}
+	replaced := reply.Incarnation != "" && reply.Incarnation != leader.Incarnation
+	return replaced || reply.EndedFence >= leader.Fence
+}
+
+// ping opens a new connection, because an existing one may be dead without having been closed.
+func (me *Messenger) ping(ctx context.Context, address string) (peer.InstanceReply, error) {
 	ctx, cancel := me.Clock.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	di := dialer.New(me.Clock, pingTimeout, me.Dial)
 	defer di.Close()
 	var reply peer.InstanceReply
-	return di.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance}, &reply) == nil
+	err := di.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance}, &reply)
+	return reply, err
 }
 
 // RequestTransfer asks up to maxTransferRequests other instances to acquire leadership from the
@@ -245,9 +266,9 @@
 	return eligible[:min(len(eligible), limit)]
 }
 
-// Ping answers that this process is running.
+// Ping answers that this process is running, and which of its terms has ended.
 func (se *Service) Ping(_ peer.Ping, reply *peer.InstanceReply) error {
-	*reply = peer.InstanceReply{Instance: se.me.Instance}
+	*reply = peer.InstanceReply{Instance: se.me.Instance, Incarnation: se.me.Incarnation, EndedFence: se.candidate.EndedFence()}
 	return nil
 }
 
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -101,14 +101,15 @@
 	if set.MachinesAddress != "" {
 		deps.Machines = platform.NewMachines(set.MachinesAddress, de.Transport, de.Clock)
 	}
+	incarnation := string(identifier.NewRequest())
 	pa.dialer = dialer.New(de.Clock, peerTimeout, de.Dial)
 	pa.messenger = messenger.New(messenger.Options{
-		Instance: set.Instance, Zone: set.Zone, Address: set.PeerAddress, ElectionDelay: set.ElectionDelayMillis, Store: store, Caller: pa.dialer, Dial: de.Dial,
+		Instance: set.Instance, Incarnation: incarnation, Zone: set.Zone, Address: set.PeerAddress, ElectionDelay: set.ElectionDelayMillis, Store: store, Caller: pa.dialer, Dial: de.Dial,
 		Clock: de.Clock, Tracer: de.Tracer, Log: de.Log,
 	})
 	deps.Peers = pa.messenger
 	pa.controller = controller.New(deps, controller.Options{
-		Instance: set.Instance, Incarnation: string(identifier.NewRequest()), Address: set.PeerAddress, LeaseDuration: set.LeaseMillis, TakeoverTimeout: set.TakeoverTimeoutMillis, ElectionDelay: set.ElectionDelayMillis,
+		Instance: set.Instance, Incarnation: incarnation, Address: set.PeerAddress, LeaseDuration: set.LeaseMillis, TakeoverTimeout: set.TakeoverTimeoutMillis, ElectionDelay: set.ElectionDelayMillis,
 		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis,
 	})
 	pa.overseer = overseer.New(overseer.Options{
--- a/wagtailcroftd/participant/takeover_test.go
+++ b/wagtailcroftd/participant/takeover_test.go
@@ -219,6 +219,38 @@
 			ha.awaitState(ha.leader(), jo, "completed", 20*time.Second)
 		})
 	})
+	// Guards against work that waits 12 s longer than any lease can last (LOST).
+	t.Run("a worker that ends together with the leader's process loses its runs after one lease", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(2), tasks(8, 2)))
+			ha.sleep(time.Second)
+			ha.cluster.Crash(0, 0)
+			former := ha.leader()
+			ha.kill(former)
+			ha.sleep(500 * time.Millisecond)
+			ha.restart(former)
+			ha.awaitState(former, jo, "completed", leaseTime+5*time.Second)
+		})
+	})
+	t.Run("nor is a leader before the former one forgotten, which may still grant leases", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(40), tasks(1, 2)))
+			ha.sleep(time.Second)
+			at, first := ha.cluster.RunnersOf(jo.ID)[0], ha.leader()
+			for i, in := range ha.instances {
+				if i != first {
+					ha.cluster.RunnerOutage(in.name, at, fleet.Unresponsive)
+				}
+			}
+			ha.cluster.StoreOutage(ha.instances[first].name, fleet.Unresponsive)
+			for ha.leader() == first {
+				ha.sleep(10 * time.Millisecond)
+			}
+			ha.kill(ha.leader())
+			ha.sleep(70 * time.Second)
+			ha.awaitState(ha.leader(), jo, "completed", 20*time.Second)
+		})
+	})
 	t.Run("attempts are counted across a restart of all processes", func(t *testing.T) {
 		runScenario(t, 3, 4, func(ha *harness) {
 			var jobs []fleet.Job
