Stop a run before it is planned elsewhere, if a former leader has sent its start

Cause: a start that a worker refused at this leader's first try was taken as never carried out, also when a former leader had sent it and had no answer; carried out late, it ran the task again after it had completed (TWICE). Only workers that check no fencing tokens are concerned. Class: an answer to one attempt taken as the answer to all. Change: only a run whose start nobody had sent before is given up without a stop.

--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -313,10 +313,10 @@
 		te.Workers.CloseIdleConnections(to)
 	case eris.Is(err, fleet.ErrLeaseExpired):
 		// The next attempt carries a later lease expiry.
-	case pl.tries == 1 && eris.Is(err, fleet.ErrInvalidTicket):
+	case !before.startSent && eris.Is(err, fleet.ErrInvalidTicket):
 		te.advice.Drop(adviceKey(key))
 		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
-	case pl.tries == 1 && (eris.Is(err, fleet.ErrNoCapacity) || eris.Is(err, fleet.ErrUnhealthy) || eris.Is(err, fleet.ErrRejected)):
+	case !before.startSent && (eris.Is(err, fleet.ErrNoCapacity) || eris.Is(err, fleet.ErrUnhealthy) || eris.Is(err, fleet.ErrRejected)):
 		te.blockWorker(wo, err)
 		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
 	default:
--- a/wagtailcroftd/participant/takeover_test.go
+++ b/wagtailcroftd/participant/takeover_test.go
@@ -251,6 +251,24 @@
 			ha.awaitState(ha.leader(), jo, "completed", 20*time.Second)
 		})
 	})
+	// Guards against a start whose answer was lost, and which is carried out after the task has run elsewhere
+	// (TWICE).
+	t.Run("a worker that refuses a start may still carry out that of the former leader", func(t *testing.T) {
+		for refusing := range 2 {
+			runUnfencedScenario(t, 3, 2, func(ha *harness) {
+				ha.cluster.DelayCommands(1)
+				jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(0.5), tasks(1, 8)))
+				ha.sleep(100 * time.Millisecond)
+				ha.kill(ha.leader())
+				ha.cluster.DelayCommands(0)
+				ha.cluster.SetRunnerFaults(refusing, false, true)
+				ha.sleep(1500 * time.Millisecond)
+				ha.cluster.SetRunnerFaults(refusing, false, false)
+				ha.awaitState(ha.leader(), jo, "completed", 15*time.Second)
+				ha.sleep(15 * time.Second) // the late start arrives
+			})
+		}
+	})
 	t.Run("attempts are counted across a restart of all processes", func(t *testing.T) {
 		runScenario(t, 3, 4, func(ha *harness) {
 			var jobs []fleet.Job
