Read a table in smaller pages where a page does not arrive in time

Class: a bound that is a constant, and that a link or a number of jobs outgrows. Change: a page that is late is asked for again with fewer rows, 128 down to 2; three late calls for changes in a row lead to such a read. The stand-in gets links with a rate.

--- a/standin/fleet/transport.go
+++ b/standin/fleet/transport.go
@@ -44,6 +44,8 @@
 		armed  map[string]armedPause
 		// processors holds the processors of machines that are too small for what they send.
 		processors map[string]*processor
+		// links holds the links of machines that are slow.
+		links map[string]*link
 		// faultFreeSince is the end of the last store fault. During a store fault it is in
 		// the future.
 		faultFreeSince time.Time
@@ -81,6 +83,7 @@
 	fa.paused = map[string]*processPause{}
 	fa.armed = map[string]armedPause{}
 	fa.processors = map[string]*processor{}
+	fa.links = map[string]*link{}
 	fa.rnd = rand.New(rand.NewPCG(seed1, seed2)) //nolint:gosec // simulation, not security
 }
 
@@ -212,6 +215,9 @@
 		}
 	}
 	rs, err := tr.send(rq, body)
+	if err == nil {
+		rs, err = tr.cluster.faults.linkOf(tr.from).receive(rq.Context(), rs)
+	}
 	tr.cluster.faults.awaitResume(tr.from) // a paused process does not read the answer either
 	return rs, err
 }
--- a/wagtailcroftd/participant/processor_test.go
+++ b/wagtailcroftd/participant/processor_test.go
@@ -1,6 +1,7 @@
 package participant_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,26 @@
 	reclaimTime = 2700 * time.Millisecond
 )
 
+// TestSlowLink guards against a takeover that never ends because a table does not fit through the link
+// within the time of one call (RECOVER, LOST).
+func TestSlowLink(t *testing.T) {
+	t.Run("a new leader reads all jobs, however many there are", func(t *testing.T) {
+		runScenario(t, 2, 4, func(ha *harness) {
+			for range 150 {
+				jo := ha.job(batchPrefix, seconds(60), tasks(4, 8))
+				jo.Body.Spec = strings.Repeat("x", 3000)
+				ha.cluster.RegisterJob(jo)
+				ha.mustSubmit(0, jo)
+			}
+			next := ha.nonLeader()
+			ha.cluster.SetLink(ha.instances[next].name, 250_000)
+			ha.kill(ha.leader())
+			urgent := ha.mustSubmit(next, ha.job(urgentPrefix, seconds(1), tasks(1, 8)))
+			ha.awaitState(next, urgent, "completed", 15*time.Second)
+		})
+	})
+}
+
 // runFullProcessorScenario runs fn on a leader whose processor is full of the starts of a burst, with
 // 300 workers of 8 accelerators.
 func runFullProcessorScenario(t *testing.T, fn func(ha *harness)) {
--- a/wagtailcroftd/tailer/tailer.go
+++ b/wagtailcroftd/tailer/tailer.go
@@ -24,8 +24,16 @@
 	// answerTimeout is how long the store may take to answer, in addition to the wait that
 	// Watch asks for. The store answers within 4 ms, or 60 times that when it is slow.
 	answerTimeout = 700 * clock.Millis(1)
+	// maxLateFollows is how many calls in a row may not be answered in time before the table is read in
+	// pages instead, since its changes may not fit through the link within the time of one call.
+	maxLateFollows = 3
 )
 
+// pageLimits are the numbers of rows of a page that are tried one after the other when a page does not
+// arrive in time; 0 leaves it to the store. A page of 1 MB takes 4 s on a link of 2 Mbit/s, and a row of a
+// job is seldom above 20 KB.
+var pageLimits = []int{0, 128, 32, 8, 2}
+
 type (
 	// Store is the part of the store that the tailer uses.
 	Store interface {
@@ -106,6 +114,8 @@
 		return nil
 	}
 	if err != nil {
+		late := ta.cl.Now()-sent >= ta.wait+answerTimeout
+		ta.inSync = !late || ta.failures+1 < maxLateFollows
 		return err
 	}
 	ta.recordSuccess()
@@ -137,16 +147,23 @@
 	return nil
 }
 
-// ReadTable reads all rows of a table page by page. It returns the rows and the version of the
-// store when the first page was read.
+// ReadTable reads all rows of a table page by page, smaller ones where a page does not arrive in time. It
+// returns the rows and the version of the store when the first page was read.
 func ReadTable(ctx context.Context, st Store, cl clock.Clock, table rowstore.Table) ([]rowstore.Row, meter.RowVersion, error) {
 	var rows []rowstore.Row
 	var version meter.RowVersion
 	from := ""
+	limits := pageLimits
 	for {
 		bound, cancel := cl.WithTimeout(ctx, answerTimeout)
-		page, err := st.Read(bound, table, from, "", 0)
+		page, err := st.Read(bound, table, from, "", limits[0])
+		late := bound.Err() != nil && ctx.Err() == nil
 		cancel()
+		if late && err != nil && len(limits) > 1 {
+			st.CloseIdleConnections()
+			limits = limits[1:]
+			continue
+		}
 		if err != nil {
 			return nil, 0, err
 		}
