Count a completion that is read after its task was started again

Class: news that comes late is dropped, though it is still true. Change: the newer run is stopped, and the task is done when it has ended, however it ended. Measured: TestEarlierRun and a subtest of TestWorkers failed before (the job was still running after 4 s) and pass.

--- a/decisions/workload/transitions.go
+++ b/decisions/workload/transitions.go
@@ -7,7 +7,13 @@
 // failed runs of a task or gang; long-running tasks have no limit.
 func (jo *Job) CompleteRun(tk TaskKey, run Completion, attempts int) bool {
 	st, ta := jo.Task(tk)
-	if ta == nil || ta.Run != run.Run || jo.State.Final() && !ta.Held() {
+	if ta == nil || jo.State.Final() && !ta.Held() {
+		return false
+	}
+	if run.Run < ta.Run && run.Outcome == OutcomeDone {
+		return jo.completeEarlier(st, ta)
+	}
+	if ta.Run != run.Run {
 		return false
 	}
 	if !ta.Held() && (ta.Phase != Waiting || run.Outcome != OutcomeDone) {
@@ -17,10 +23,10 @@
 	if run.Checkpoint != "" && step.Checkpointing {
 		jo.saveCheckpoint(st, ta, run.Checkpoint)
 	}
-	switch run.Outcome {
-	case OutcomeDone:
+	switch {
+	case run.Outcome == OutcomeDone || ta.EarlierDone:
 		jo.finishTask(st, ta)
-	case OutcomeFailed:
+	case run.Outcome == OutcomeFailed:
 		ta.Phase = Waiting
 		jo.countFailure(st, ta, attempts)
 	default:
@@ -33,6 +39,22 @@
 	return true
 }
 
+// completeEarlier applies the successful completion of a run that was given up before it was known, for
+// which a newer run was started. The newer run is stopped; until then the task is not done.
+func (jo *Job) completeEarlier(st *Stage, ta *Task) bool {
+	if step := jo.StepOf(st); step.Gang || step.LongRunning || ta.Phase == Done || ta.EarlierDone {
+		return false
+	}
+	if !ta.Held() {
+		jo.finishTask(st, ta)
+		jo.completeIfDone()
+		return true
+	}
+	ta.EarlierDone = true
+	jo.StopTask(st, ta)
+	return true
+}
+
 // saveCheckpoint records a checkpoint. A checkpoint from one member of a gang applies to
 // the whole gang.
 func (jo *Job) saveCheckpoint(st *Stage, ta *Task, checkpoint string) {
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -170,6 +170,9 @@
 		// Silenced means that the worker went silent soon after the last run had started, and is not known
 		// to have crashed. It is not stored.
 		Silenced bool
+		// EarlierDone means that an earlier run has completed, so that the task is done when its present run
+		// has ended. It is not stored.
+		EarlierDone bool
 		// FailedOn is the worker on which the task last failed. It is not stored.
 		FailedOn identifier.Worker
 		// PlacedAt is when the run was placed or, if that is later, when this scheduler read
--- a/decisions/workload/workload_test.go
+++ b/decisions/workload/workload_test.go
@@ -244,3 +244,41 @@
 		asserter.Equal(t, jo.RecordCrash(jo.Key(st, 0), 3, workload.SoleSuspect), false)
 	})
 }
+
+// TestEarlierRun guards against work that is done again although an earlier run has completed (LOST).
+func TestEarlierRun(t *testing.T) {
+	earlier := func(jo *workload.Job) bool {
+		return jo.CompleteRun(jo.Key(jo.Stage(0, 0), 0), workload.Completion{Run: 1, Outcome: workload.OutcomeDone}, 3)
+	}
+	restarted := func(step workload.Step) *workload.Job {
+		jo := newJob(step)
+		start(jo, 0)
+		complete(jo, 0, 0, workload.OutcomeLeaseExpired, 3)
+		start(jo, 0)
+		return jo
+	}
+	for name, how := range map[string]workload.RunOutcome{
+		"stopped": workload.OutcomeStopped, "failed": workload.OutcomeFailed, "lost with its worker": workload.OutcomeWorkerLost, "done too": workload.OutcomeDone,
+	} {
+		t.Run("the newer run is stopped, and the task is done when it has ended: "+name, func(t *testing.T) {
+			jo := restarted(workload.Step{Count: 1})
+			asserter.Equal(t, earlier(jo), true)
+			asserter.Equal(t, earlier(jo), false)
+			asserter.Equal(t, jo.Stage(0, 0).Tasks[0].Phase, workload.Stopping)
+			asserter.Equal(t, jo.State, workload.Queued)
+			complete(jo, 0, 0, how, 1)
+			asserter.Equal(t, jo.State, workload.Completed)
+		})
+	}
+	t.Run("a task that waits to be started again is done at once", func(t *testing.T) {
+		jo := restarted(workload.Step{Count: 1})
+		complete(jo, 0, 0, workload.OutcomeStopped, 3)
+		asserter.Equal(t, earlier(jo), true)
+		asserter.Equal(t, jo.State, workload.Completed)
+	})
+	t.Run("gangs and tasks that last run on", func(t *testing.T) {
+		for _, step := range []workload.Step{{Count: 2, Gang: true}, {Count: 1, LongRunning: true}} {
+			asserter.Equal(t, earlier(restarted(step)), false)
+		}
+	})
+}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -305,10 +305,14 @@
 	}
 	state := en.job.State
 	st, ta := en.job.Task(key)
-	if ta == nil || ta.Worker != wo.id || !en.job.CompleteRun(key, co, attempts) {
+	earlier := ta != nil && co.Run < ta.Run && co.Outcome == workload.OutcomeDone
+	if ta == nil || ta.Worker != wo.id && !earlier || !en.job.CompleteRun(key, co, attempts) {
 		return
 	}
 	en.dirty = true
+	if earlier {
+		te.markStops(en.job)
+	}
 	ta.Silenced = co.Outcome == workload.OutcomeLeaseExpired && te.silenced(wo, key, co.Run)
 	te.Metrics.Count("ends", co.Outcome.String())
 	te.trackFailures(wo, key.Job, co.Outcome)
--- a/wagtailcroftd/participant/faults_test.go
+++ b/wagtailcroftd/participant/faults_test.go
@@ -153,6 +153,22 @@
 			ha.awaitState(0, jo, "completed", 40*time.Second)
 		})
 	})
+	// Guards against work that is done again although it is known to be done (LOST).
+	t.Run("a completion that is read after its task was started again counts", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
+			ha.sleep(time.Second)
+			at := ha.cluster.RunnersOf(jo.ID)[0]
+			ha.cluster.RunnerOutage("", at, fleet.Unresponsive)
+			for ha.cluster.StartCount() == 1 {
+				ha.sleep(50 * time.Millisecond)
+			}
+			ha.cluster.RunnerOutage("", at, fleet.NoOutage)
+			ha.awaitState(0, jo, "completed", 4*time.Second)
+			ha.sleep(10 * time.Second)
+			asserter.Equal(t, ha.cluster.StartCount(), 2)
+		})
+	})
 	t.Run("completions of a new incarnation are not dropped because of sequence numbers of the former one", func(t *testing.T) {
 		runScenario(t, 3, 1, func(ha *harness) {
 			ha.awaitState(0, ha.mustSubmit(0, ha.job(normalPrefix, seconds(0.5), tasks(6, 1))), "completed", 3*time.Second)
