Hold no crash against the work that happened in an outage shared by workers

Class: a common cause taken for a single one. Change: a crash is judged a second after its silence began, and not at all if two other workers, on which the job had no run, went silent within that second; a silence that began with a call that timed out, as a partition does, never makes a sole suspect. Measured: TestDeadlyTasks/tasks whose workers crash together ... failed before (failed, not completed) and passes, as do the other cases.

--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -18,6 +18,10 @@
 	// crashProofTime is how long after a worker went silent a successor at its address proves that it
 	// crashed. Later the address may have been given to another machine.
 	crashProofTime = 30 * clock.Second
+	// outageSpread is the time within which workers go silent that share an outage, and outageWorkers how
+	// many others must do so for a crash not to be held against the work.
+	outageSpread  = 1 * clock.Second
+	outageWorkers = 2
 )
 
 type (
@@ -28,6 +32,9 @@
 		incarnation workload.Incarnation
 		// since is when the worker was first found silent.
 		since clock.Millis
+		// timedOut means that a call was not answered in time, as in a partition. A process that ends
+		// closes its connections.
+		timedOut bool
 		// suspects are the runs that may be the cause, if it has crashed.
 		suspects []suspect
 	}
@@ -43,11 +50,11 @@
 
 // noteSilence records what runs on a worker that has stopped answering. A worker that is leaving is not
 // recorded, because it ends without a crash.
-func (te *term) noteSilence(wo *worker, now clock.Millis) {
+func (te *term) noteSilence(wo *worker, timedOut bool, now clock.Millis) {
 	if wo.report.Draining || wo.inMaintenance || wo.report.Address == "" {
 		return
 	}
-	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, since: now}
+	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, since: now, timedOut: timedOut}
 	newest := 0
 	for key, pl := range wo.runs {
 		if !pl.startSent || wo.clockAt-pl.sentAt > youngRun {
@@ -60,9 +67,33 @@
 		si.suspects = append(si.suspects, suspect{key: key, run: pl.run, sole: sole})
 	}
 	for i := range si.suspects {
-		si.suspects[i].sole = len(si.suspects) == 1 || si.suspects[i].sole && newest == 1
+		si.suspects[i].sole = !timedOut && (len(si.suspects) == 1 || si.suspects[i].sole && newest == 1)
 	}
 	te.silences[wo.report.Address] = si
+	te.outages = append(te.outages, si)
+}
+
+// inOutage reports whether other workers, on which a job has no suspects, went silent at about the same
+// time, so that the job is not the cause.
+func (te *term) inOutage(si *silence, job identifier.Job) bool {
+	others := 0
+	for _, other := range te.outages {
+		apart := max(other.since-si.since, si.since-other.since)
+		if other.worker != si.worker && apart <= outageSpread && !slices.ContainsFunc(other.suspects, func(su suspect) bool { return su.key.Job == job }) {
+			others++
+		}
+	}
+	return others >= outageWorkers
+}
+
+// pruneSilences forgets silences that prove nothing any more, except those that have yet to be judged.
+func (te *term) pruneSilences(now clock.Millis) {
+	for address, si := range te.silences {
+		if now-si.since > crashProofTime {
+			delete(te.silences, address)
+		}
+	}
+	te.outages = slices.DeleteFunc(te.outages, func(si *silence) bool { return now-si.since > crashProofTime+outageSpread })
 }
 
 // endSilence forgets the silence at an address. If the worker that answers or is reported there is not
@@ -78,12 +109,26 @@
 	}
 	te.Metrics.Count("workerCrashes", "proven")
 	te.log.Warn().Str("worker", string(si.worker)).Int64("silentMillis", int64(now-si.since)).Int("suspects", len(si.suspects)).Msg("workerCrashed")
-	for _, su := range si.suspects {
-		te.blame(si.worker, su)
-	}
+	te.crashes = append(te.crashes, si)
 	te.trigger()
 }
 
+// judgeCrashes holds crashes against the work once all workers that shared an outage are known to be
+// silent.
+func (te *term) judgeCrashes(now clock.Millis) {
+	te.crashes = slices.DeleteFunc(te.crashes, func(si *silence) bool {
+		if now-si.since <= outageSpread {
+			return false
+		}
+		for _, su := range si.suspects {
+			if !te.inOutage(si, su.key.Job) {
+				te.blame(si.worker, su)
+			}
+		}
+		return true
+	})
+}
+
 // blame records the crash of a worker with a task that may be the cause.
 func (te *term) blame(id identifier.Worker, su suspect) {
 	en := te.jobs[su.key.Job]
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if err != nil {
-		te.pollFailed(wo, to, err, now)
+		te.pollFailed(wo, to, err, now-sent >= co.Wait+pollSlack, now)
 		te.trigger()
 		return
 	}
@@ -136,11 +136,11 @@
 	te.dispatchTo(wo, now)
 }
 
-func (te *term) pollFailed(wo *worker, to fleet.Target, err error, now clock.Millis) {
+func (te *term) pollFailed(wo *worker, to fleet.Target, err error, timedOut bool, now clock.Millis) {
 	wo.failures++
 	wo.pollAfter = now + min(firstPollPause<<min(wo.failures, 5), maxPollPause)
 	if wo.failures == 1 {
-		te.noteSilence(wo, now)
+		te.noteSilence(wo, timedOut, now)
 		te.log.Warn().Str("worker", string(wo.id)).Err(err).Int("runs", len(wo.runs)).Msg("workerUnreachable")
 	}
 	if eris.Is(err, fleet.ErrNoAnswer) {
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -93,11 +93,8 @@
 // expireLeases completes the runs whose leases have certainly expired, and forgets workers that
 // are no longer listed and have no runs left, and silences that prove nothing any more.
 func (te *term) expireLeases(now clock.Millis) {
-	for address, si := range te.silences {
-		if now-si.since > crashProofTime {
-			delete(te.silences, address)
-		}
-	}
+	te.judgeCrashes(now)
+	te.pruneSilences(now)
 	for _, wo := range te.workers {
 		if len(wo.runs) > 0 && te.leasesExpired(wo, now) {
 			te.log.Warn().Str("worker", string(wo.id)).Int("runs", len(wo.runs)).Bool("met", wo.contacted).
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -97,6 +97,10 @@
 		failedWorkers map[identifier.Job]map[identifier.Worker]bool
 		// silences holds the workers that have stopped answering, by address.
 		silences map[string]*silence
+		// outages holds all silences of late, also those that have ended, in order of their beginnings.
+		outages []*silence
+		// crashes holds the silences that were proven to be crashes and are not judged yet.
+		crashes []*silence
 		// loaded means that all submissions have been read.
 		loaded bool
 		// confirmedAt is when the last successful commit under the fencing token was sent.
--- a/wagtailcroftd/participant/deadly_test.go
+++ b/wagtailcroftd/participant/deadly_test.go
@@ -76,6 +76,34 @@
 			asserter.Equal(t, ha.cluster.CrashCount(), 0)
 		})
 	})
+	// Guards against jobs that are given up because of an outage that many workers shared (LOST).
+	t.Run("tasks whose workers crash together with others are not given up", func(t *testing.T) {
+		runScenario(t, 3, 8, func(ha *harness) {
+			const affected = 5
+			var jobs []fleet.Job
+			for range 8 {
+				jobs = append(jobs, ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8))))
+			}
+			for range 4 {
+				ha.sleep(500 * time.Millisecond)
+				for at := range affected {
+					ha.cluster.RunnerOutage("", at, fleet.Unresponsive)
+				}
+				ha.sleep(time.Second)
+				for at := range affected {
+					ha.cluster.Crash(at, time.Second)
+				}
+				ha.sleep(3 * time.Second)
+				for at := range affected {
+					ha.cluster.RunnerOutage("", at, fleet.NoOutage)
+				}
+				ha.sleep(time.Second)
+			}
+			for _, jo := range jobs {
+				ha.awaitState(0, jo, "completed", 60*time.Second)
+			}
+		})
+	})
 	t.Run("a task that has run for long when its workers crash is not given up", func(t *testing.T) {
 		runScenario(t, 3, 3, func(ha *harness) {
 			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
