--- a/wagtailcroftd/participant/takeover_test.go
+++ b/wagtailcroftd/participant/takeover_test.go
@@ -232,6 +232,7 @@
 			ha.awaitState(former, jo, "completed", leaseTime+5*time.Second)
 		})
 	})
+	// Guards against a task that runs twice because the leases of an earlier leader were forgotten (TWICE).
 	t.Run("nor is a leader before the former one forgotten, which may still grant leases", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
 			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(40), tasks(1, 2)))
