--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -117,21 +118,27 @@
 	return rg
 }
 
-// configure writes the operator's configuration: an urgent queue and a batch queue, two tenants.
-func (rg *rig) configure() {
-	route := func(name, prefix string, priority int, stretch float64, objective int) map[string]any {
+// configure writes the first configuration of the operator.
+func (rg *rig) configure() { rg.putConfig(3, []string{"key-of-lodu31"}) }
+
+// putConfig writes a configuration: an urgent and a batch queue, an open one that needs no key, and
+// two tenants, the second with the given keys.
+func (rg *rig) putConfig(version int, keys []string) {
+	route := func(name, prefix string, priority int, stretch float64, objective int, open bool) map[string]any {
 		return map[string]any{"name": name, "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 3000, "objectiveMs": objective,
-			"priority": priority, "service": service, "maxAttempts": 4, "stretch": stretch, "allowAnonymous": false}
+			"priority": priority, "service": service, "maxAttempts": 4, "stretch": stretch, "allowAnonymous": open}
 	}
 	rg.st.put("op", "config", map[string]any{
-		"version": 3,
-		"routes":  []any{route("r-urgent", "/pufi791/", 0, 1.5, 250), route("r-batch", "/lohu930/", 2, 3, 3000)},
+		"version": version,
+		"routes": []any{
+			route("r-urgent", urgent, 0, 1.5, 250, false), route("r-batch", batch, 2, 3, 3000, false), route("r-open", open, 2, 3, 3000, true),
+		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false,
 			"enforcesCapacity": false, "standby": false}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
 			map[string]any{"name": "kaje80", "apiKeys": []string{"key-of-kaje80"}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}},
-			map[string]any{"name": "lodu31", "apiKeys": []string{"key-of-lodu31"}, "priority": 1, "guaranteed": map[string]any{"gpu": 0}},
+			map[string]any{"name": "lodu31", "apiKeys": keys, "priority": 1, "guaranteed": map[string]any{"gpu": 0}},
 		},
 	})
 }
@@ -242,11 +249,12 @@
 		fmt.Println("usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	plays := map[string]func(*rig) []string{"ends": playEnds, "entry": playEntry, "stale": playStale, "wide": playWide, "repeated": playRepeated, "crash": playCrash}
+	plays := map[string]func(*rig) []string{"ends": playEnds, "entry": playEntry, "stale": playStale, "wide": playWide, "repeated": playRepeated, "crash": playCrash, "revoked": playRevoked}
 	play := plays[os.Args[1]]
 	if play == nil {
 		abort("no case %s", os.Args[1])
 	}
+	runtime.LockOSThread() // the processes that are started end with this thread at the latest
 	rg := newRig(os.Args[2])
 	time.AfterFunc(117*time.Second, func() { abort("the case took too long") })
 	broken := play(rg)
--- a/review/rig/plays.go
+++ b/review/rig/plays.go
@@ -11,6 +11,7 @@
 
 const (
 	urgent, batch  = "/pufi791/", "/lohu930/"
+	open           = "/mira404/"
 	kaje, lodu     = "key-of-kaje80", "key-of-lodu31"
 	settleTime     = 2 * time.Second
 	leaseAndMargin = 11 * time.Second
@@ -293,3 +294,40 @@
 	}
 	return broken
 }
+
+// playRevoked: the key of a tenant is taken away, and its client goes on calling, at a queue that needs
+// a key and at one that needs none, for a job of another tenant.
+func playRevoked(rg *rig) []string {
+	rg.runners(2, resources{CPU: 64000, MemMb: 131072, GPU: 8})
+	rg.configure()
+	rg.startInstances(3)
+	time.Sleep(settleTime)
+	jo := newJob(1, batch, kaje, "work ms=40000", map[string]any{"count": 2, "cpu": 7500, "memMb": 15000, "estimateMs": 40000})
+	rg.submit(jo)
+	if rg.fl.await(jo.id+".0.0.0", 0, 8*time.Second) == nil {
+		abort("the job was not started")
+	}
+	if rg.trouble {
+		rg.putConfig(8, []string{"another-key-of-lodu31"})
+		rg.rec.add("configuration 8 takes the key %s away; the store has acknowledged it", lodu)
+	} else {
+		rg.putConfig(8, []string{lodu, "another-key-of-lodu31"})
+		rg.rec.add("configuration 8 adds a key; the store has acknowledged it")
+	}
+	time.Sleep(7 * time.Second) // revokeMs is 5 s
+	var broken []string
+	for _, in := range rg.instances {
+		for _, ca := range [][2]string{{"GET", batch}, {"GET", open}, {"DELETE", open}} {
+			status, out := rg.call(in, ca[0], ca[1]+jo.id, lodu, nil)
+			rg.rec.add("client of lodu31: %s %s%s at %s with the key %s: %d %v", ca[0], ca[1], jo.id, in.name, lodu, status, out)
+			if rg.trouble && status/100 == 2 {
+				broken = append(broken, fmt.Sprintf("CONFIG: %s %s%s at %s runs (%d %v), 7 s after the acknowledgement of the configuration that took its key away", ca[0], ca[1], jo.id, in.name, status, out))
+				rg.rec.add("BROKEN %s", broken[len(broken)-1])
+			}
+		}
+	}
+	time.Sleep(2 * time.Second)
+	rg.rec.add("its tenant kaje80, which has not cancelled the job, asks for it:")
+	rg.ask(jo)
+	return broken
+}
