--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/.bin/rig ] || { echo "run review/build.sh first"; exit 2; }
-exec review/.bin/rig entry "$here/record.txt"
+exec review/.bin/rig lives "$here/record.txt"
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -62,6 +62,7 @@
 	rec                        *recorder
 	st                         *store
 	fl                         *fleet
+	cloud                      *cloud
 	instances                  []*instance
 	trouble                    bool
 }
@@ -111,9 +112,8 @@
 	rg.st = newStore(rg.rec)
 	rg.fl = newFleet(rg.st, rg.rec)
 	rg.storeAddress = serve(rg.st)
-	rg.cloudAddress = serve(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
-		answer(wr, 200, map[string]any{"machines": []any{}, "nextToken": nil})
-	}))
+	rg.cloud = newCloud(rg)
+	rg.cloudAddress = serve(rg.cloud)
 	rg.rec.add("trouble: %v", rg.trouble)
 	return rg
 }
@@ -249,7 +249,7 @@
 		fmt.Println("usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	plays := map[string]func(*rig) []string{"ends": playEnds, "entry": playEntry, "stale": playStale, "wide": playWide, "repeated": playRepeated, "crash": playCrash, "revoked": playRevoked}
+	plays := map[string]func(*rig) []string{"ends": playEnds, "lives": playLives, "wide": playWide, "repeated": playRepeated, "crash": playCrash, "revoked": playRevoked, "waves": playWaves}
 	play := plays[os.Args[1]]
 	if play == nil {
 		abort("no case %s", os.Args[1])
--- a/review/rig/plays.go
+++ b/review/rig/plays.go
@@ -81,47 +81,32 @@
 	time.Sleep(4 * time.Second)
 }
 
-// playEntry: an entry of another writer, without the field born, stands in the place of a runner's.
-func playEntry(rg *rig) []string {
+// playLives: an entry that doesn't tell of a runner's present life stands in the store for a moment;
+// first that of its former life, then one of another writer, without the field born.
+func playLives(rg *rig) []string {
 	rg.runners(2, resources{CPU: 64000, MemMb: 131072, GPU: 8})
 	rg.configure()
 	rg.startInstances(3)
 	time.Sleep(leaseAndMargin)
-	jo := newJob(1, urgent, kaje, "work ms=9000", map[string]any{"count": 1, "cpu": 7500, "memMb": 15000, "gpu": 8, "estimateMs": 9000})
-	rg.submit(jo)
-	task := jo.id + ".0.0.0"
-	ru := rg.fl.await(task, 2*time.Second, 8*time.Second)
-	if ru == nil {
-		abort("the task was not started")
-	}
-	if rg.trouble {
-		rg.fl.mu.Lock()
-		entry := ru.entry()
-		delete(entry, "born")
-		rg.st.put("servers", ru.spec.id, entry)
-		rg.rec.add("another writer writes servers/%s without born", ru.spec.id)
-		rg.fl.mu.Unlock()
-	}
-	time.Sleep(12 * time.Second)
-	rg.ask(jo)
+	rg.formerLife()
+	rg.rec.add("first part: %d breaches", len(rg.fl.breaches()))
+	rg.otherWriter()
 	return rg.fl.breaches()
 }
 
-// playStale: a runner crashes and starts again under its id, and the store forgets its history
-// before the runner has written its entry anew.
-func playStale(rg *rig) []string {
-	rg.runners(2, resources{CPU: 64000, MemMb: 131072, GPU: 8})
-	rg.configure()
-	rg.startInstances(3)
-	time.Sleep(leaseAndMargin)
-	work := map[string]any{"count": 1, "cpu": 7500, "memMb": 15000, "gpu": 8, "estimateMs": 9000}
-	first, second := newJob(1, urgent, kaje, "work ms=9000 first", work), newJob(2, urgent, kaje, "work ms=2600 second", work)
+// wholeRunner is a task that needs all accelerators of a runner.
+var wholeRunner = map[string]any{"count": 1, "cpu": 7500, "memMb": 15000, "gpu": 8, "estimateMs": 9000}
+
+// formerLife: a runner crashes and starts again under its id, and the store forgets its history before
+// the runner has written its entry anew.
+func (rg *rig) formerLife() {
+	first, second := newJob(1, urgent, kaje, "work ms=9000 first", wholeRunner), newJob(2, urgent, kaje, "work ms=2600 second", wholeRunner)
 	rg.submit(first)
-	if rg.fl.await(first.id+".0.0.0", 0, 8*time.Second) == nil {
+	task := first.id + ".0.0.0"
+	if rg.fl.await(task, 0, 8*time.Second) == nil {
 		abort("the first task was not started")
 	}
 	rg.submit(second)
-	task := first.id + ".0.0.0"
 	ru := rg.fl.await(task, time.Second, 8*time.Second)
 	if ru == nil {
 		abort("the first task was not started")
@@ -133,21 +118,40 @@
 		ru.crash()
 		time.Sleep(100 * time.Millisecond)
 		ru.start()
-		again := rg.fl.await(task, 20*time.Millisecond, heartbeat-200*time.Millisecond)
-		if again != nil {
+		started := time.Now()
+		if rg.fl.await(task, 20*time.Millisecond, heartbeat-200*time.Millisecond) != nil {
 			rg.rec.add("the store forgets its history")
 			rg.st.forget()
 		}
-		time.Sleep(heartbeat - 100*time.Millisecond)
+		time.Sleep(heartbeat - time.Since(started))
 		rg.fl.mu.Lock()
 		ru.silent = false
 		ru.report()
 		rg.fl.mu.Unlock()
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(13 * time.Second)
 	rg.ask(first)
 	rg.ask(second)
-	return rg.fl.breaches()
+}
+
+// otherWriter: another writer overwrites the entry of a runner that is at work, without born.
+func (rg *rig) otherWriter() {
+	jo := newJob(3, urgent, kaje, "work ms=9000 third", wholeRunner)
+	rg.submit(jo)
+	ru := rg.fl.await(jo.id+".0.0.0", 2*time.Second, 15*time.Second)
+	if ru == nil {
+		abort("the third task was not started")
+	}
+	if rg.trouble {
+		rg.fl.mu.Lock()
+		entry := ru.entry()
+		delete(entry, "born")
+		rg.st.put("servers", ru.spec.id, entry)
+		rg.rec.add("another writer writes servers/%s without born", ru.spec.id)
+		rg.fl.mu.Unlock()
+	}
+	time.Sleep(12 * time.Second)
+	rg.ask(jo)
 }
 
 // playWide: a large job is handed in among small ones.
@@ -162,8 +166,7 @@
 	return rg.smallJobs(8, 2*time.Second)
 }
 
-// smallJobs hands in small urgent jobs, and checks LOST finish_s after the last one: a job has
-// nothing running for 3 s although there is room.
+// smallJobs hands in small urgent jobs, and checks LOST.
 func (rg *rig) smallJobs(count int, gap time.Duration) []string {
 	var small []*job
 	for i := range count {
@@ -172,6 +175,12 @@
 		rg.submit(jo)
 		time.Sleep(gap)
 	}
+	return rg.lostAtTheEnd(small)
+}
+
+// lostAtTheEnd checks LOST finish_s after the last job was handed in: one has nothing running for 3 s
+// although there is room.
+func (rg *rig) lostAtTheEnd(small []*job) []string {
 	rg.rec.add("the traffic ends")
 	time.Sleep(14 * time.Second)
 	unstarted := map[string]int{}
@@ -185,7 +194,7 @@
 	used := rg.used()
 	time.Sleep(3200 * time.Millisecond)
 	usedLater := rg.used()
-	rg.rec.add("%d small jobs are not completed; cores in use %d, then %d, of %d", len(unstarted), used, usedLater, rg.room())
+	rg.rec.add("%d jobs are not completed; milli-cores in use %d, then %d, of %d", len(unstarted), used, usedLater, rg.room())
 	rg.fl.mu.Lock()
 	defer rg.fl.mu.Unlock()
 	broken := append([]string(nil), rg.fl.broken...)
