--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// youngRun is the age at its worker's last answer below which a run may be the cause of a crash. A
+	// youngRun is the age, when its worker was last alive, below which a run may be the cause of a crash. A
 	// task that crashes its workers does so soon after its start.
 	youngRun = 4 * clock.Second
 	// newestRun is the age below which a run is the likely cause.
@@ -48,19 +48,20 @@
 	}
 )
 
-// noteSilence records what runs on a worker that has stopped answering. A worker that is leaving is not
+// noteSilence records what runs on a worker that has stopped answering and was last known to be alive at a
+// time. A worker that is leaving is not
 // recorded, because it ends without a crash.
-func (te *term) noteSilence(wo *worker, timedOut bool, now clock.Millis) {
+func (te *term) noteSilence(wo *worker, timedOut bool, aliveAt, now clock.Millis) {
 	if wo.report.Draining || wo.inMaintenance || wo.report.Address == "" {
 		return
 	}
 	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, since: now, timedOut: timedOut}
 	newest := 0
 	for key, pl := range wo.runs {
-		if !pl.startSent || wo.clockAt-pl.sentAt > youngRun {
+		if !pl.startSent || aliveAt-pl.sentAt > youngRun {
 			continue
 		}
-		sole := wo.clockAt-pl.sentAt <= newestRun
+		sole := aliveAt-pl.sentAt <= newestRun
 		if sole {
 			newest++
 		}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -140,7 +140,11 @@
 	wo.failures++
 	wo.pollAfter = now + min(firstPollPause<<min(wo.failures, 5), maxPollPause)
 	if wo.failures == 1 {
-		te.noteSilence(wo, timedOut, now)
+		aliveAt := now // a process that ends closes its connections, so that this is noticed at once
+		if timedOut {
+			aliveAt = wo.clockAt
+		}
+		te.noteSilence(wo, timedOut, aliveAt, now)
 		te.log.Warn().Str("worker", string(wo.id)).Err(err).Int("runs", len(wo.runs)).Msg("workerUnreachable")
 	}
 	if eris.Is(err, fleet.ErrNoAnswer) {
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -214,7 +214,7 @@
 	now := te.Clock.Now()
 	wo := te.ensureWorker(id)
 	if wo.contacted && wo.report.Incarnation != re.Incarnation && te.silences[wo.report.Address] == nil {
-		te.noteSilence(wo, false, now) // it has restarted before its silence was noticed
+		te.noteSilence(wo, false, wo.clockAt, now) // it has restarted before its silence was noticed
 	}
 	te.endSilence(re.Address, id, re.Incarnation, now)
 	te.mark(wo)
