Take no entry of a worker for the end of its runs

Cause: any start time in an entry that differed from the known one, also an older one or none, counted as a new incarnation. The leader forgot that the worker had answered and what leases it had sent, counted the leases from the end of the former leader's term, long past, and gave up all runs of the worker in the next round. Change: what a worker tells itself is kept apart from what its entry says. An older entry is ignored while the worker answers, a newer one has the worker asked, and one without a start time is invalid. Leases count from what was sent until the worker itself tells another incarnation. Why it works: an entry alone completes no run any more; only the worker's answer or the lapse of the lease that was sent does. The stand-in's oracle now also reports a start after an end that is acknowledged later.

--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -24,33 +24,43 @@
 	storeRecoveryTime = 3 * time.Second
 )
 
-// oracle checks the rules that a scheduler must keep. It knows what the clients have
-// submitted and what the runners have done, but nothing about the state of the scheduler.
-type oracle struct {
-	cluster *Cluster
-	// starts is the number of started runs, alone that of those that ended alone.
-	starts, alone int
-	// acknowledged contains the units (see unit) whose completion as done the scheduler has
-	// acknowledged.
-	acknowledged map[string]bool
-	// failed is the number of acknowledged failed runs of each unit, and failedRun the last
-	// run that was counted, so that a failed run of a gang counts once.
-	failed    map[string]int
-	failedRun map[string]int64
-	// cancelled maps each cancelled job to the time at which the cancellation was
-	// acknowledged to its client.
-	cancelled map[string]time.Time
-	// refused contains the jobs whose submission was refused at every attempt.
-	refused map[string]bool
-	// drainingSince maps each draining runner to the time of its report.
-	drainingSince map[*Runner]time.Time
-	// crashes is the number of runners that have crashed under each task, and startsAfterCrashes how often
-	// it was started after the tolerated ones.
-	crashes, startsAfterCrashes map[workload.TaskKey]int
-	// completed contains the units that have completed as done, whether acknowledged or not.
-	completed  map[string]bool
-	violations []string
-}
+type (
+	// oracle checks the rules that a scheduler must keep. It knows what the clients have
+	// submitted and what the runners have done, but nothing about the state of the scheduler.
+	oracle struct {
+		cluster *Cluster
+		// starts is the number of started runs, alone that of those that ended alone.
+		starts, alone int
+		// acknowledged contains the units (see unit) whose completion as done the scheduler has
+		// acknowledged.
+		acknowledged map[string]bool
+		// failed is the number of acknowledged failed runs of each unit, and failedRun the last
+		// run that was counted, so that a failed run of a gang counts once.
+		failed    map[string]int
+		failedRun map[string]int64
+		// cancelled maps each cancelled job to the time at which the cancellation was
+		// acknowledged to its client.
+		cancelled map[string]time.Time
+		// refused contains the jobs whose submission was refused at every attempt.
+		refused map[string]bool
+		// drainingSince maps each draining runner to the time of its report.
+		drainingSince map[*Runner]time.Time
+		// crashes is the number of runners that have crashed under each task, and startsAfterCrashes how often
+		// it was started after the tolerated ones.
+		crashes, startsAfterCrashes map[workload.TaskKey]int
+		// completed contains the units that have completed as done, whether acknowledged or not.
+		completed map[string]bool
+		// lastStart is when a run of each unit was last started, and whose run it was.
+		lastStart  map[string]start
+		violations []string
+	}
+
+	// start is the start of a run.
+	start struct {
+		run int64
+		at  time.Time
+	}
+)
 
 func (ora *oracle) reportViolation(rule, format string, args ...any) {
 	ora.violations = append(ora.violations, rule+": "+fmt.Sprintf(format, args...))
@@ -89,6 +99,7 @@
 		ora.reportViolation("LIMIT", "%s requests %v, but only %v is free on %s", rs.Task, resourceRequest(step), ru.free(), ru.id)
 	}
 	ora.checkSingleRun(key, rs)
+	ora.lastStart[ora.unit(key)] = start{run: rs.Run, at: time.Now()}
 	ora.checkCrashes(key)
 	for _, after := range step.DependsOn {
 		for i := range jo.Body.Steps[after].Count {
@@ -103,6 +114,14 @@
 	}
 }
 
+// checkStartsSince checks, when the completion of a run as done is acknowledged, that no later run was
+// started after it.
+func (ora *oracle) checkStartsSince(key workload.TaskKey, co completion) {
+	if last := ora.lastStart[ora.unit(key)]; last.run > co.run && last.at.After(co.at) && !ora.cluster.step(key).LongRunning && !ora.cluster.step(key).AllowDuplicates {
+		ora.reportViolation("TWICE", "run %d of %s was started %v after run %d had completed, which is acknowledged", last.run, co.task, last.at.Sub(co.at), co.run)
+	}
+}
+
 // checkSingleRun checks that no other run of the task is in progress and, unless the task is
 // long-running, that the scheduler has not acknowledged its completion.
 func (ora *oracle) checkSingleRun(key workload.TaskKey, rs wire.RunStart) {
@@ -147,6 +166,7 @@
 	switch co.how {
 	case "done":
 		ora.acknowledged[unit] = true
+		ora.checkStartsSince(key, co)
 	case "failed":
 		if ora.cluster.inGang(key) && ora.failedRun[unit] >= co.run {
 			return
--- a/standin/fleet/reports.go
+++ b/standin/fleet/reports.go
@@ -43,3 +43,14 @@
 		Labels:   []string{"a", ru.rack}, Born: ru.born.UnixMilli(),
 	}
 }
+
+// OverwriteEntry changes the entry of a runner in the store as another writer might, until the runner
+// writes it anew.
+func (cl *Cluster) OverwriteEntry(at int, change func(en *wire.Entry)) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	ru := cl.runners[at]
+	en := ru.entry()
+	change(&en)
+	cl.Store.Put("servers", ru.id, en)
+}
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -83,6 +83,8 @@
 		run        int64
 		how        string
 		checkpoint string
+		// at is when the run completed.
+		at time.Time
 		// leaseExpired means that the lease of the runner expired before the completion was
 		// acknowledged. The oracle ignores such a completion.
 		leaseExpired bool
@@ -286,7 +288,7 @@
 	ru.highestRun[name] = max(ru.highestRun[name], rn.number)
 	ru.lastCompletion++
 	ru.cluster.trace("%s completes %s run %d: %s", ru.id, name, rn.number, how)
-	ru.completions = append(ru.completions, completion{number: ru.lastCompletion, task: name, run: rn.number, how: how, checkpoint: checkpoint})
+	ru.completions = append(ru.completions, completion{number: ru.lastCompletion, task: name, run: rn.number, how: how, checkpoint: checkpoint, at: time.Now()})
 	ru.cluster.oracle.recordCompletion(rn.key, rn.number, how)
 	ru.notify()
 	if rn.gang != nil {
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -309,7 +309,7 @@
 	case err != nil && st.Clock == 0:
 		return false
 	}
-	if st.Clock > 0 && (st.Incarnation == 0 || st.Incarnation == wo.report.Incarnation) {
+	if st.Clock > 0 && (st.Incarnation == 0 || st.Incarnation == wo.told) {
 		wo.clock, wo.clockAt = st.Clock, now
 	}
 	return false
--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -97,6 +97,14 @@
 	te.outages = slices.DeleteFunc(te.outages, func(si *silence) bool { return now-si.since > crashProofTime+outageSpread })
 }
 
+// endSilenceOfOther forgets the silence at an address at which another worker is reported. An entry of the
+// same worker proves no crash, because entries can be older than what it tells itself.
+func (te *term) endSilenceOfOther(address string, id identifier.Worker, now clock.Millis) {
+	if si := te.silences[address]; si != nil && si.worker != id {
+		te.endSilence(address, id, 0, now)
+	}
+}
+
 // endSilence forgets the silence at an address. If the worker that answers or is reported there is not
 // the one that went silent, that one has crashed.
 func (te *term) endSilence(address string, id identifier.Worker, incarnation workload.Incarnation, now clock.Millis) {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -3,9 +3,11 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -110,6 +112,10 @@
 	defer te.mu.Unlock()
 	now := te.Clock.Now()
 	wo.polling = false
+	if to.Address != wo.report.Address {
+		te.trigger() // the worker has moved, so that the answer is not that of its present incarnation
+		return
+	}
 	if te.staleAnswer(wo, st, err, now) {
 		return
 	}
@@ -156,17 +162,13 @@
 // the worker's incarnation has changed.
 func (te *term) applyStatus(wo *worker, st fleet.Status, co fleet.PollCommand, sent, now clock.Millis) bool {
 	runs, orphans, incarnation := len(wo.runs), len(wo.orphans), wo.report.Incarnation
-	if st.Incarnation != 0 && st.Incarnation != wo.report.Incarnation {
-		te.endSilence(wo.report.Address, wo.id, st.Incarnation, now)
-		te.newIncarnation(wo, st.Incarnation)
-		wo.clock, wo.clockAt = st.Clock, now
-	}
+	te.identify(wo, st, now)
 	if !wo.contacted {
 		// The former leader may have granted a lease of unknown length, but a worker limits
 		// every lease to LeaseDuration.
 		wo.leaseEnd = max(wo.leaseEnd, st.Clock+te.op.LeaseDuration)
 	}
-	wo.contacted, wo.polledAt, wo.identifiedAt = true, sent, now
+	wo.answered, wo.contacted, wo.polledAt, wo.identifiedAt = true, true, sent, now
 	wo.acknowledged = max(wo.acknowledged, co.Acknowledged)
 	for _, cr := range st.Completed {
 		if cr.Number > wo.applied {
@@ -174,13 +176,12 @@
 			te.completeRun(wo, cr.Task, cr.Completion)
 		}
 	}
-	listed := make(map[workload.TaskKey]bool, len(st.Running))
+	listed := make(map[workload.TaskKey]meter.RunNumber, len(st.Running))
 	for _, ru := range st.Running {
-		listed[ru.Task] = true
+		listed[ru.Task] = ru.Run
 		te.applyRunning(wo, ru, now)
 	}
-	te.resolveFormerRuns(wo, listed, sent)
-	missing := te.findMissing(wo, listed, sent)
+	missing := te.judgeRuns(wo, listed, sent)
 	te.throttle(wo, now)
 	return missing || runs != len(wo.runs) || orphans != len(wo.orphans) || incarnation != wo.report.Incarnation
 }
@@ -223,28 +224,36 @@
 	}
 }
 
-// findMissing completes the runs that the worker should list but does not. A run that was
-// stopped before it began reports no completion, and neither does a run whose completion a
-// former leader acknowledged. It reports whether there are any.
-func (te *term) findMissing(wo *worker, listed map[workload.TaskKey]bool, sent clock.Millis) (found bool) {
+// judgeRuns judges the runs of a worker, and its orphans, by an answer to a poll that was sent at a time.
+// It reports whether a run is over, or is missing though the worker should list it.
+func (te *term) judgeRuns(wo *worker, listed map[workload.TaskKey]meter.RunNumber, sent clock.Millis) (found bool) {
+	answer := assessor.Answer{Incarnation: wo.told, SentAt: sent}
 	for key, pl := range wo.orphans {
-		if !listed[key] && pl.stoppedAt > 0 && pl.stoppedAt <= sent {
+		if listed[key] != pl.run && pl.stoppedAt > 0 && pl.stoppedAt <= sent {
 			delete(wo.orphans, key)
 		}
 	}
 	for key, pl := range wo.runs {
-		if listed[key] {
+		answer.Listed = listed[key] == pl.run
+		verdict := pl.evidence().FromAnswer(answer)
+		if verdict == assessor.Unknown {
 			continue
 		}
-		switch {
-		case pl.stoppedAt > 0 && pl.stoppedAt <= sent:
+		if pl.incarnation != wo.told && !verdict.Over() {
+			_, ta := te.jobs[key.Job].job.Task(key)
+			pl.incarnation, ta.Incarnation, pl.stoppedAt = wo.told, wo.told, 0
+		}
+		switch verdict {
+		case assessor.Unsettled:
+			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Msg("runMissing")
+			found, pl.startUncertain = true, true
+			te.stopTask(key)
+		case assessor.Stopped:
 			found = true
 			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
-		case pl.startedAt > 0 && pl.startedAt <= sent && pl.stoppedAt == 0:
-			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Msg("runMissing")
+		case assessor.Lost:
 			found = true
-			pl.startUncertain = true
-			te.stopTask(key)
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost})
 		}
 	}
 	return found
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -96,8 +96,8 @@
 	te.judgeCrashes(now)
 	te.pruneSilences(now)
 	for _, wo := range te.workers {
-		if len(wo.runs) > 0 && te.leasesExpired(wo, now) {
-			te.log.Warn().Str("worker", string(wo.id)).Int("runs", len(wo.runs)).Bool("met", wo.contacted).
+		if len(wo.runs) > 0 && now > te.lease(wo).ExpiresAt() {
+			te.log.Warn().Str("worker", string(wo.id)).Int("runs", len(wo.runs)).Bool("met", wo.answered).
 				Int64("silentMillis", int64(now-wo.clockAt)).Msg("leasesExpired")
 			for key, pl := range wo.runs {
 				te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeLeaseExpired})
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -11,9 +12,6 @@
 )
 
 const (
-	// maxClockDrift is the maximum amount, in thousandths, by which the clock of a worker runs
-	// slow: 2% by the specification of the platform, and 1% for this instance's own clock.
-	maxClockDrift = 30
 	// maxUnconfirmed is how long a leader that cannot confirm its leadership keeps extending
 	// leases. It exceeds the longest known outage of the store, which is 9 s.
 	maxUnconfirmed = 12 * clock.Second
@@ -48,16 +46,21 @@
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
 
-		// contacted means that this incarnation has answered this leader.
+		// answered means that some incarnation has answered this leader, and told is the one that did so
+		// last.
+		answered bool
+		told     workload.Incarnation
+		// contacted means that told is certainly the incarnation in the report. The worker gets work only
+		// then.
 		contacted bool
 		// clock is the reading of the worker's clock at the time clockAt.
 		clock   clock.Millis
 		clockAt clock.Millis
-		// leaseEnd is the latest lease expiry that was ever sent, on the worker's clock.
+		// leaseEnd is the latest lease expiry that was ever sent to the incarnation told, on its clock.
 		leaseEnd clock.Millis
 		// polledAt is when the last successful poll was sent.
 		polledAt clock.Millis
-		// identifiedAt is when the current incarnation last answered a poll.
+		// identifiedAt is when the incarnation told last answered a poll.
 		identifiedAt clock.Millis
 
 		// applied is the number of the last completion that was applied to the jobs, recorded
@@ -160,17 +163,20 @@
 // clock.
 func (wo *worker) estimatedClock(at clock.Millis) clock.Millis { return wo.clock + at - wo.clockAt }
 
-// leasesExpired reports whether every lease that was ever granted to the worker has certainly
-// expired. A worker that has not answered this leader may have leases from the former leader.
-func (te *term) leasesExpired(wo *worker, now clock.Millis) bool {
-	if !wo.contacted {
-		return now-te.formerEndsBy > maxElapsed(te.op.LeaseDuration)
+// lease returns what this leader knows of the leases of a worker's runs.
+func (te *term) lease(wo *worker) assessor.Lease {
+	return assessor.Lease{
+		Answered: wo.answered, Clock: wo.clock, ClockAt: wo.clockAt, End: wo.leaseEnd,
+		FormerEndsBy: te.formerEndsBy, Duration: te.op.LeaseDuration,
 	}
-	return now-wo.clockAt > maxElapsed(wo.leaseEnd-wo.clock)
 }
 
-// maxElapsed returns how long a span on the clock of a worker lasts at most.
-func maxElapsed(span clock.Millis) clock.Millis { return max(span, 0) * (1000 + maxClockDrift) / 1000 }
+// evidence returns what this leader knows of a run.
+func (pl *placement) evidence() assessor.Run {
+	return assessor.Run{
+		Incarnation: pl.incarnation, StartSent: pl.startSent, StartUncertain: pl.startUncertain, StartedAt: pl.startedAt, StoppedAt: pl.stoppedAt,
+	}
+}
 
 // Snapshot replaces all worker reports.
 func (ha reportHandler) Snapshot(rows []rowstore.Row) {
@@ -213,21 +219,26 @@
 	}
 	now := te.Clock.Now()
 	wo := te.ensureWorker(id)
-	if wo.contacted && wo.report.Incarnation != re.Incarnation && te.silences[wo.report.Address] == nil {
-		te.noteSilence(wo, false, wo.clockAt, now) // it has restarted before its silence was noticed
-	}
-	te.endSilence(re.Address, id, re.Incarnation, now)
+	te.endSilenceOfOther(re.Address, id, now)
 	te.mark(wo)
 	before := wo.report
-	wo.report, wo.listed = re, true
+	wo.listed = true
+	if wo.contacted && wo.failures == 0 && re.Incarnation != wo.told && !assessor.Supersedes(re.Incarnation, wo.told) {
+		te.log.Info().Str("worker", row.Name).Int64("life", int64(re.Incarnation)).Int64("told", int64(wo.told)).Msg("workerReportOutdated")
+		return
+	}
+	if wo.contacted && re.Incarnation != before.Incarnation && te.silences[before.Address] == nil {
+		te.noteSilence(wo, false, wo.clockAt, now) // it may have restarted before its silence was noticed
+	}
+	wo.report = re
 	if re.Draining {
-		wo.leavesAt = te.Clock.Now() + re.Remaining
+		wo.leavesAt = now + re.Remaining
 	}
 	if before.Address != "" && before.Address != re.Address {
 		te.Workers.Forget(before.Address)
 	}
 	if re.Incarnation != before.Incarnation {
-		te.newIncarnation(wo, re.Incarnation)
+		wo.contacted, wo.pollAfter = false, 0 // the worker is asked; the entry proves nothing about its runs
 	}
 	if before.Incarnation != re.Incarnation || before.Draining != re.Draining {
 		te.log.Info().Str("worker", row.Name).Str("address", re.Address).Bool("draining", re.Draining).
@@ -235,42 +246,26 @@
 	}
 }
 
-// newIncarnation discards the state of a worker's former incarnation. Its runs are kept until
-// the new incarnation has answered, because a command for the former one may have reached the
-// new one.
-func (te *term) newIncarnation(wo *worker, incarnation workload.Incarnation) {
-	if wo.contacted {
-		te.log.Info().Str("worker", string(wo.id)).Int64("life", int64(incarnation)).Int("runs", len(wo.runs)).Msg("workerRestarted")
+// identify records which incarnation of a worker has answered. If it is a new one, the state of the
+// former one is discarded. Runs are kept until the answer is applied, because a command for the former
+// incarnation may have reached the new one.
+func (te *term) identify(wo *worker, st fleet.Status, now clock.Millis) {
+	if st.Incarnation == 0 || wo.answered && st.Incarnation == wo.told {
+		wo.report.Incarnation = wo.told
+		return
 	}
-	wo.report.Incarnation = incarnation
-	wo.contacted, wo.polledAt, wo.leaseEnd = false, 0, 0
-	wo.applied, wo.recorded, wo.acknowledged = 0, 0, 0
-	wo.failures, wo.pollAfter = 0, 0
-	wo.orphans = map[workload.TaskKey]*placement{}
-}
-
-// resolveFormerRuns resolves the runs that were placed on a former incarnation, after the
-// present one has answered a poll sent at the given time. A run that the answer lists is
-// executed by the present incarnation. A run for which no start command was sent, or that the
-// former incarnation had confirmed, is lost. Any other run may still be started by a delayed
-// command, so it is stopped.
-func (te *term) resolveFormerRuns(wo *worker, listed map[workload.TaskKey]bool, sent clock.Millis) {
-	for key, pl := range wo.runs {
-		if pl.incarnation == wo.report.Incarnation {
-			continue
-		}
-		_, ta := te.jobs[key.Job].job.Task(key)
-		confirmed := pl.startedAt > 0 && pl.startedAt <= sent && !pl.startUncertain
-		switch {
-		case !pl.startSent || confirmed && !listed[key]:
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost})
-			continue
-		case !listed[key]:
-			te.stopTask(key)
+	if wo.answered {
+		te.log.Info().Str("worker", string(wo.id)).Int64("life", int64(st.Incarnation)).Int("runs", len(wo.runs)).Msg("workerRestarted")
+		if te.silences[wo.report.Address] == nil {
+			te.noteSilence(wo, false, wo.clockAt, now) // it has restarted before its silence was noticed
 		}
-		pl.incarnation, ta.Incarnation = wo.report.Incarnation, wo.report.Incarnation
-		pl.stoppedAt = 0
+		wo.contacted, wo.leaseEnd = false, 0
+		wo.applied, wo.recorded, wo.acknowledged = 0, 0, 0
+		wo.orphans = map[workload.TaskKey]*placement{}
 	}
+	te.endSilence(wo.report.Address, wo.id, st.Incarnation, now)
+	wo.report.Incarnation, wo.told = st.Incarnation, st.Incarnation
+	wo.clock, wo.clockAt = st.Clock, now
 }
 
 // stopTask marks the run of a task to be stopped.
--- /dev/null
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -0,0 +1,71 @@
+package participant_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wagtailcroft/wagtailcroft/platform/wire"
+	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
+)
+
+// settledTime is longer than a lease, so that leases of former leaders play no part any more.
+const settledTime = leaseTime + time.Second
+
+// expectOneRun submits a job of one task that fills a worker, disturbs it, and expects that the task is
+// started only once and completes.
+func expectOneRun(t *testing.T, disturb func(ha *harness, at int)) {
+	t.Helper()
+	runScenario(t, 3, 2, func(ha *harness) {
+		ha.sleep(settledTime)
+		jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
+		ha.sleep(2 * time.Second)
+		disturb(ha, ha.cluster.RunnersOf(jo.ID)[0])
+		ha.awaitState(0, jo, "completed", 10*time.Second)
+		asserter.Equal(t, ha.cluster.StartCount(), 1)
+	})
+}
+
+// TestEntriesProveNothing guards against work that is started elsewhere while it runs, because an entry of
+// the registry that is older than the worker's own answers, or that another program wrote, was taken for
+// the end of the worker's incarnation (TWICE).
+func TestEntriesProveNothing(t *testing.T) {
+	for name, change := range map[string]func(en *wire.Entry){
+		"without an incarnation":      func(en *wire.Entry) { en.Born = 0 },
+		"with an older incarnation":   func(en *wire.Entry) { en.Born -= 60_000 },
+		"with an incarnation to come": func(en *wire.Entry) { en.Born += 1_000_000_000 },
+	} {
+		t.Run("an entry "+name, func(t *testing.T) {
+			expectOneRun(t, func(ha *harness, at int) {
+				ha.cluster.OverwriteEntry(at, change)
+				ha.sleep(1500 * time.Millisecond)
+				ha.cluster.OverwriteEntry(at, func(*wire.Entry) {})
+			})
+		})
+		t.Run("an entry "+name+" of a worker that is silent for a moment", func(t *testing.T) {
+			expectOneRun(t, func(ha *harness, at int) {
+				ha.cluster.RunnerOutage("", at, fleet.Unresponsive)
+				ha.sleep(time.Second)
+				ha.cluster.OverwriteEntry(at, change)
+				ha.sleep(3 * time.Second)
+				ha.cluster.RunnerOutage("", at, fleet.NoOutage)
+				ha.cluster.OverwriteEntry(at, func(*wire.Entry) {})
+			})
+		})
+	}
+	t.Run("the entry of a former incarnation that is read again after the worker has restarted", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			ha.sleep(settledTime)
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
+			ha.sleep(time.Second)
+			ha.cluster.SetListingDelay(1500 * time.Millisecond)
+			ha.cluster.Crash(ha.cluster.RunnersOf(jo.ID)[0], 100*time.Millisecond)
+			for ha.cluster.StartCount() == 1 {
+				ha.sleep(10 * time.Millisecond)
+			}
+			ha.cluster.Store.Compact()
+			ha.awaitState(0, jo, "completed", 12*time.Second)
+			asserter.Equal(t, ha.cluster.StartCount(), 2)
+		})
+	})
+}
