Take the runs of a worker for over when another worker answers at its address

Cause: a crashed worker never answers again, but the worker that has started at its address does, with 421. The leader took that for 'not contacted' and waited for leases, which for a new leader count from 12 s after its takeover; the clock of that started anew with each leader. Change: assessor.FromSuccessor completes the runs of the incarnation that was reported at the address (workerReplaced); a reported successor has the former worker polled at once. Why it works: the proof comes from the address itself and needs no memory of earlier leaders, and a start that is still under way to the former worker is refused there as well.

--- a/decisions/assessor/assessor.go
+++ b/decisions/assessor/assessor.go
@@ -101,6 +101,16 @@
 	return Unknown
 }
 
+// FromSuccessor judges a run by the answer of another worker at the address at which an incarnation of its
+// worker was reported. No command for that incarnation is executed any more, because the other worker
+// refuses it.
+func (ru Run) FromSuccessor(reported workload.Incarnation) Verdict {
+	if ru.Incarnation == reported {
+		return Lost
+	}
+	return Unknown // it was placed on an incarnation that may have another address
+}
+
 // ExpiresAt returns the time, on the leader's clock, after which all leases of the worker have certainly
 // expired.
 func (le Lease) ExpiresAt() clock.Millis {
--- a/decisions/assessor/assessor_test.go
+++ b/decisions/assessor/assessor_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// TestFromSuccessor guards against work that waits for leases of a worker that has certainly ended (LOST).
+func TestFromSuccessor(t *testing.T) {
+	for name, ex := range map[string]struct {
+		placed, reported workload.Incarnation
+		want             assessor.Verdict
+	}{
+		"the incarnation of the run was reported there":  {20, 20, assessor.Lost},
+		"an older incarnation was reported there":        {20, 10, assessor.Unknown},
+		"a newer incarnation was reported there":         {20, 30, assessor.Unknown},
+		"no incarnation of the worker is reported there": {20, 0, assessor.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run := assessor.Run{Incarnation: ex.placed, StartSent: true, StartUncertain: true}
+			asserter.Equal(t, run.FromSuccessor(ex.reported), ex.want)
+		})
+	}
+}
+
 func TestLease(t *testing.T) {
 	const lease = 10 * clock.Second
 	t.Run("a worker that has answered holds leases until the last that was sent to it", func(t *testing.T) {
--- a/standin/fleet/deadly.go
+++ b/standin/fleet/deadly.go
@@ -12,6 +12,8 @@
 	crashDelay = 10 * time.Millisecond
 	// comebackTime is how long a crashed runner is down. It comes back under another ID.
 	comebackTime = 3 * time.Second
+	// entryLifetime is how long the entry of a silent runner is kept: three heartbeat intervals.
+	entryLifetime = 4500 * time.Millisecond
 	// toleratedCrashes and toleratedStarts are how many runners may crash under a task, and how often it
 	// may be started after that.
 	toleratedCrashes, toleratedStarts = 3, 2
@@ -25,17 +27,30 @@
 			return
 		}
 		ru.cluster.oracle.crashes[key]++
-		ru.terminate()
-		former := ru.id
-		ru.cluster.afterFunc(comebackTime, func() {
-			ru.cluster.Store.Remove("servers", former)
-			ru.lives++
-			ru.id = fmt.Sprintf("%s-%d", ru.name, ru.lives)
-			ru.start()
-		})
+		ru.replace(comebackTime, comebackTime)
 	})
 }
 
+// replace crashes the runner. Another one starts at its address after the down time. The entry of the
+// crashed one is removed after a time of silence.
+func (ru *Runner) replace(down, silence time.Duration) {
+	ru.terminate()
+	former := ru.id
+	ru.cluster.afterFunc(silence, func() { ru.cluster.Store.Remove("servers", former) })
+	ru.cluster.afterFunc(down, func() {
+		ru.lives++
+		ru.id = fmt.Sprintf("%s-%d", ru.name, ru.lives)
+		ru.start()
+	})
+}
+
+// Replace crashes a runner. Another one starts at its address after the down time.
+func (cl *Cluster) Replace(at int, down time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.runners[at].replace(down, entryLifetime)
+}
+
 // CrashCount returns how many runners have crashed under tasks that they had started.
 func (cl *Cluster) CrashCount() int {
 	cl.mu.Lock()
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -179,7 +179,7 @@
 		Bool("resumed", co.Checkpoint != "").Int64("queuedMillis", int64(sent-submitted)).Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("startSent")
 	te.Metrics.Observe("start", now-sent)
 	te.Metrics.Count("starts", outcomeLabel(err))
-	if te.staleAnswer(wo, st, err, now) {
+	if te.staleAnswer(wo, to, st, err, now) {
 		return
 	}
 	en := te.jobs[key.Job]
@@ -279,7 +279,7 @@
 	pl.retryAt = now + commandRetryPause
 	te.log.Info().Str("task", co.Task).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).
 		Int64("queuedMillis", int64(sent-submitted)).Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("stopSent")
-	if te.staleAnswer(wo, st, err, now) {
+	if te.staleAnswer(wo, to, st, err, now) {
 		return
 	}
 	if err == nil {
@@ -295,7 +295,7 @@
 // staleAnswer updates the worker's clock from an answer. It returns true if the rest of the
 // answer must be ignored, because the term is over, another incarnation answered, or the worker
 // obeys another leader.
-func (te *term) staleAnswer(wo *worker, st fleet.Status, err error, now clock.Millis) bool {
+func (te *term) staleAnswer(wo *worker, to fleet.Target, st fleet.Status, err error, now clock.Millis) bool {
 	switch {
 	case te.ctx.Err() != nil:
 		return true
@@ -303,8 +303,7 @@
 		te.loseLeadership("a worker obeys a newer leader")
 		return true
 	case eris.Is(err, fleet.ErrOtherIncarnation):
-		wo.contacted = false
-		wo.pollAfter = now + maxPollPause
+		te.applySuccessor(wo, to, now)
 		return true
 	case err != nil && st.Clock == 0:
 		return false
@@ -314,3 +313,22 @@
 	}
 	return false
 }
+
+// applySuccessor applies the answer of another worker at the address of a worker: the runs of the
+// incarnation that was reported there are over.
+func (te *term) applySuccessor(wo *worker, to fleet.Target, now clock.Millis) {
+	wo.contacted = false
+	wo.pollAfter = now + maxPollPause
+	if to.Address != wo.report.Address {
+		return
+	}
+	te.log.Warn().Str("worker", string(wo.id)).Str("address", to.Address).Int64("life", int64(wo.report.Incarnation)).Int("runs", len(wo.runs)).Msg("workerReplaced")
+	clear(wo.orphans)
+	wo.applied, wo.recorded, wo.acknowledged = 0, 0, 0
+	for key, pl := range wo.runs {
+		if pl.evidence().FromSuccessor(wo.report.Incarnation).Over() {
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost})
+		}
+	}
+	te.trigger()
+}
--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -100,9 +100,15 @@
 // endSilenceOfOther forgets the silence at an address at which another worker is reported. An entry of the
 // same worker proves no crash, because entries can be older than what it tells itself.
 func (te *term) endSilenceOfOther(address string, id identifier.Worker, now clock.Millis) {
-	if si := te.silences[address]; si != nil && si.worker != id {
-		te.endSilence(address, id, 0, now)
+	si := te.silences[address]
+	if si == nil || si.worker == id {
+		return
+	}
+	if wo := te.workers[si.worker]; wo != nil {
+		wo.pollAfter = 0 // the answer of the other worker proves that the runs are over
+		te.mark(wo)
 	}
+	te.endSilence(address, id, 0, now)
 }
 
 // endSilence forgets the silence at an address. If the worker that answers or is reported there is not
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -116,7 +116,7 @@
 		te.trigger() // the worker has moved, so that the answer is not that of its present incarnation
 		return
 	}
-	if te.staleAnswer(wo, st, err, now) {
+	if te.staleAnswer(wo, to, st, err, now) {
 		return
 	}
 	if eris.Is(err, fleet.ErrNotSent) {
--- a/wagtailcroftd/controller/throttle.go
+++ b/wagtailcroftd/controller/throttle.go
@@ -73,7 +73,7 @@
 		pl.throttling = false
 		te.log.Info().Str("task", co.Task).Str("worker", string(wo.id)).Int32("from", int32(pl.speed)).Int32("to", int32(next)).
 			AnErr("refusal", err).Msg("throttleSent")
-		if te.staleAnswer(wo, st, err, te.Clock.Now()) {
+		if te.staleAnswer(wo, to, st, err, te.Clock.Now()) {
 			return
 		}
 		if err == nil {
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -1,6 +1,7 @@
 package participant_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,3 +70,45 @@
 		})
 	})
 }
+
+// TestReplacedWorker guards against work that waits for the leases of a worker at whose address another one
+// answers, so that it has certainly ended (LOST).
+func TestReplacedWorker(t *testing.T) {
+	// Work must run again within 3 s, while it could.
+	const within, down = 3 * time.Second, time.Second
+	for name, lose := range map[string]func(ha *harness){
+		"under the leader that saw its end": func(*harness) {},
+		"under a new leader":                func(ha *harness) { ha.powerOff(ha.leader()) },
+		"under the second new leader": func(ha *harness) {
+			for range 2 {
+				former := ha.leader()
+				ha.powerOff(former)
+				for ha.leader() == former {
+					ha.sleep(10 * time.Millisecond)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, 2, func(ha *harness) {
+				ha.sleep(settledTime)
+				jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(20), tasks(1, 8)))
+				ha.sleep(2 * time.Second)
+				ha.cluster.Replace(ha.cluster.RunnersOf(jo.ID)[0], down)
+				lose(ha)
+				ha.sleep(down + within)
+				asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 1)
+			})
+		})
+	}
+	t.Run("a worker that has restarted at another address is not taken for ended where it was", func(t *testing.T) {
+		expectOneRun(t, func(ha *harness, at int) {
+			other := fmt.Sprintf("runner-%02d:1", 1-at)
+			ha.cluster.OverwriteEntry(at, func(en *wire.Entry) { en.Address, en.Born = other, en.Born-60_000 })
+			ha.cluster.RunnerOutage("", at, fleet.Unresponsive)
+			ha.sleep(4 * time.Second)
+			ha.cluster.RunnerOutage("", at, fleet.NoOutage)
+			ha.cluster.OverwriteEntry(at, func(*wire.Entry) {})
+		})
+	})
+}
