Name in the leader's row every process that may still grant leases

Cause: a new leader asked the former one's process for its end only if that one had seen the end of the one before (settled). A leader that is lost within seconds of its takeover has not, so that the next one waited 12 s more. Change: the row names the former leaders that may still grant leases, one entry a process (formers, instead of settled); each new leader asks all of them and renews the row without those that have ended. Why it works: none is forgotten, however fast leaders change, and none is waited for once its process has told its end. Measured: TestLostLeaders failed before, and passes; TestFormers is new.

--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -40,6 +40,21 @@
 	At externalRef0.Millis `json:"at"`
 }
 
+// FormerLeader A former leader as it was when it was replaced.
+type FormerLeader struct {
+	// Address Address of the net/rpc server of the leader.
+	Address string `json:"address,omitempty"`
+
+	// Fence Fencing token of its last term.
+	Fence externalRef0.LeaseEpoch `json:"fence"`
+
+	// Incarnation Distinguishes successive processes of the same instance.
+	Incarnation string `json:"incarnation"`
+
+	// Instance Identifies an instance.
+	Instance externalRef0.InstanceID `json:"instance"`
+}
+
 // Leader Table duty, key scheduler. The current leader, which schedules the tasks of all workers. Every commit of the leader is conditional on this row.
 type Leader struct {
 	// Address Address of the net/rpc server of the leader.
@@ -48,6 +63,9 @@
 	// Fence Fencing token; increases with each new leader.
 	Fence externalRef0.LeaseEpoch `json:"fence"`
 
+	// Formers Former leaders whose terms may not have ended, one for each process.
+	Formers []FormerLeader `json:"formers,omitempty"`
+
 	// Incarnation Distinguishes successive processes of the same instance.
 	Incarnation string `json:"incarnation"`
 
@@ -56,9 +74,6 @@
 
 	// Renewals Increases with each renewal.
 	Renewals int64 `json:"renewals"`
-
-	// Settled The terms of all former leaders have certainly ended.
-	Settled bool `json:"settled,omitempty"`
 }
 
 // Member Table members, key INSTANCE. Written by each instance when it starts, so that other instances can call it.
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -191,7 +191,7 @@
 	if renew {
 		wr.next.Renewals++
 		te.mu.Lock()
-		te.attempted, wr.next.Settled = wr.next.Renewals, te.settled
+		te.attempted, wr.next.Formers = wr.next.Renewals, te.formers
 		te.mu.Unlock()
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.LeadershipKey, Value: recorder.Encode(wr.next)})
 	}
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -56,7 +56,7 @@
 		OfferTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) bool
 		// TermEnded reports whether a leader's term has certainly ended, so that no command of it leaves
 		// any more.
-		TermEnded(ctx context.Context, leader ledger.Leader) bool
+		TermEnded(ctx context.Context, leader ledger.FormerLeader) bool
 	}
 
 	// Advisers tells which workers may run the steps of the queues that use the advice service.
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -48,7 +48,7 @@
 
 func (quietPeers) AwaitExit(ctx context.Context, _ string) bool { <-ctx.Done(); return false }
 
-func (quietPeers) TermEnded(context.Context, ledger.Leader) bool { return false }
+func (quietPeers) TermEnded(context.Context, ledger.FormerLeader) bool { return false }
 
 func (quietPeers) Ping(context.Context, string) bool { return true }
 
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -66,10 +67,10 @@
 		roundTrigger    chan struct{}
 		dispatchTrigger chan struct{}
 		startedAt       clock.Millis
-		// formerEndsBy is when no former leader can grant a lease any more. settled means that this time
-		// has come. Both are guarded by mu.
+		// formerEndsBy is when no former leader can grant a lease any more, and formers are those that may
+		// still do so. Both are guarded by mu.
 		formerEndsBy clock.Millis
-		settled      bool
+		formers      []ledger.FormerLeader
 		// lost is set once, before the term ends, when another instance may be the leader.
 		lost atomic.Bool
 
@@ -170,6 +171,7 @@
 		dispatchTrigger: make(chan struct{}, 1),
 		startedAt:       now,
 		formerEndsBy:    now + maxUnconfirmed,
+		formers:         el.Leader().Formers,
 		mu:              locker.New(locker.RankZone),
 		jobs:            map[identifier.Job]*entry{},
 		workers:         map[identifier.Worker]*worker{},
@@ -211,21 +213,25 @@
 }
 
 // awaitFormerEnd waits until the terms of all former leaders have certainly ended, so that no leases are
-// granted on workers that this leader cannot reach. The last of them tells whether it was the only one
-// left.
+// granted on workers that this leader cannot reach. The leader's row names those that are left, so that the
+// next leader has to ask these only, and does not wait for maxUnconfirmed where each of them tells its end.
 func (te *term) awaitFormerEnd() {
-	former := te.leadership.Former()
 	for te.ctx.Err() == nil {
+		te.mu.Lock()
+		formers := te.formers
+		te.mu.Unlock()
+		left := slices.DeleteFunc(slices.Clone(formers), func(fo ledger.FormerLeader) bool { return te.Peers.TermEnded(te.ctx, fo) })
 		now := te.Clock.Now()
-		ended := former == nil || former.Settled && te.hasEnded(*former)
 		te.mu.Lock()
-		if ended {
-			te.formerEndsBy = min(te.formerEndsBy, te.Clock.Now())
+		if now >= te.formerEndsBy {
+			left = nil
+		}
+		te.formers = left
+		if len(left) == 0 {
+			te.formerEndsBy = min(te.formerEndsBy, now)
 		}
-		te.settled = ended || now >= te.formerEndsBy
-		settled := te.settled
 		te.mu.Unlock()
-		if settled {
+		if len(left) == 0 {
 			te.log.Info().Int64("waitedMillis", int64(now-te.startedAt)).Msg("formerTermEnded")
 			return
 		}
@@ -233,12 +239,6 @@
 	}
 }
 
-// hasEnded reports whether the term of a former leader has certainly ended. A process releases the
-// leadership after its term, and takes it from a former process of its own instance after that one's end.
-func (te *term) hasEnded(former ledger.Leader) bool {
-	return former.Instance == "" || former.Instance == te.op.Instance || te.Peers.TermEnded(te.ctx, former)
-}
-
 func (te *term) follow(wg *sync.WaitGroup, table rowstore.Table, batchDelay clock.Millis, ha tailer.Handler) {
 	ta := tailer.New(te.Store, table, tailer.Timing{Wait: followWait, BatchDelay: batchDelay}, te.Clock, te.log)
 	wg.Go(func() { ta.Run(te.ctx, ha) })
--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -94,8 +95,6 @@
 		// leader is nil while the row is absent.
 		leader  *ledger.Leader
 		version meter.RowVersion
-		// former is the row that this instance replaced when it became the leader; nil if there was none.
-		former *ledger.Leader
 		// acquiredAt is when the transaction that made this instance the leader was first sent.
 		acquiredAt clock.Millis
 		// suspicion is the last report that a leader has failed. It is ignored unless it
@@ -125,9 +124,6 @@
 // took effect at this time or later.
 func (el *Elector) AcquiredAt() clock.Millis { return el.acquiredAt }
 
-// Former returns the row that this instance replaced when it became the leader; nil if there was none.
-func (el *Elector) Former() *ledger.Leader { return el.former }
-
 // RecordRenewal records the row that this instance has written as the leader.
 func (el *Elector) RecordRenewal(next ledger.Leader, version meter.RowVersion) {
 	el.setRow(&next, version)
@@ -279,6 +275,7 @@
 	if el.leader != nil {
 		next.Fence = el.leader.Fence + 1
 		previous = el.leader.Instance
+		next.Formers = el.formers(*el.leader)
 	}
 	el.acquiredAt = el.cl.Now()
 	version, err := el.write(ctx, el.version, next)
@@ -291,11 +288,25 @@
 	el.metrics.Count("takeovers", reason)
 	el.log.Info().Str("why", reason).Str("former", string(previous)).Int64("fence", int64(next.Fence)).
 		Int64("unchangedMillis", int64(el.unchangedFor())).Msg("leadershipAcquired")
-	el.former = el.leader
 	el.setRow(&next, version)
 	return true
 }
 
+// formers lists the leaders whose terms may not have ended when this instance replaces a leader: that one,
+// unless it has released leadership, and those that it did not know to have ended. A process takes
+// leadership after its own former terms, and after the end of a former process of its instance.
+func (el *Elector) formers(replaced ledger.Leader) []ledger.FormerLeader {
+	all := slices.Clone(replaced.Formers)
+	if replaced.Instance != "" {
+		last := ledger.FormerLeader{Instance: replaced.Instance, Incarnation: replaced.Incarnation, Fence: replaced.Fence, Address: replaced.Address}
+		all = slices.DeleteFunc(all, func(fo ledger.FormerLeader) bool {
+			return fo.Instance == last.Instance && fo.Incarnation == last.Incarnation
+		})
+		all = append(all, last)
+	}
+	return slices.DeleteFunc(all, func(fo ledger.FormerLeader) bool { return fo.Instance == el.Self.Instance })
+}
+
 // write writes the row if it still has the version. If the store does not answer, it repeats
 // the same transaction to learn whether the row was written.
 func (el *Elector) write(ctx context.Context, version meter.RowVersion, next ledger.Leader) (meter.RowVersion, error) {
--- a/wagtailcroftd/elector/elector_test.go
+++ b/wagtailcroftd/elector/elector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -9,6 +10,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/elector"
@@ -93,3 +95,33 @@
 		})
 	}
 }
+
+// TestFormers guards against a leader that forgets one before the former, which may still grant leases
+// (TWICE).
+func TestFormers(t *testing.T) {
+	first := ledger.FormerLeader{Instance: "first", Incarnation: "f", Fence: 2, Address: "c"}
+	other := ledger.FormerLeader{Instance: "other", Incarnation: "x", Fence: 3, Address: "a"}
+	own := ledger.FormerLeader{Instance: "self", Incarnation: "w", Fence: 1, Address: "b"}
+	earlier := ledger.FormerLeader{Instance: "other", Incarnation: "x", Fence: 1, Address: "a"}
+	for name, ex := range map[string]struct {
+		instance identifier.Instance
+		formers  []ledger.FormerLeader
+		want     []ledger.FormerLeader
+	}{
+		"the replaced leader":                           {"other", nil, []ledger.FormerLeader{other}},
+		"the replaced leader and the one before":        {"other", []ledger.FormerLeader{first}, []ledger.FormerLeader{first, other}},
+		"none if the leader has released leadership":    {"", nil, nil},
+		"the one before a leader that has released":     {"", []ledger.FormerLeader{first}, []ledger.FormerLeader{first}},
+		"no process of the own instance":                {"other", []ledger.FormerLeader{own}, []ledger.FormerLeader{other}},
+		"one term of a process that has led repeatedly": {"other", []ledger.FormerLeader{earlier}, []ledger.FormerLeader{other}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := &store{cl: clock.NewFake(1000), onWatch: func() {}}
+			replaced := ledger.Leader{Instance: ex.instance, Incarnation: "x", Address: "a", Fence: 3, Formers: ex.formers}
+			st.row = rowstore.Row{Key: recorder.LeadershipKey, Value: recorder.Encode(replaced), Version: 1}
+			el := newElector(st)
+			asserter.Equal(t, el.Acquire(context.Background()), true)
+			asserter.Equal(t, fmt.Sprint(el.Leader().Formers), fmt.Sprint(ex.want))
+		})
+	}
+}
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -200,7 +200,7 @@
 
 // TermEnded reports whether a leader's term has certainly ended: its process says so, or has been
 // replaced by another one. A refused connection proves nothing, because a partition may refuse it too.
-func (me *Messenger) TermEnded(ctx context.Context, leader ledger.Leader) bool {
+func (me *Messenger) TermEnded(ctx context.Context, leader ledger.FormerLeader) bool {
 	reply, err := me.ping(ctx, leader.Address)
 	if err != nil {
 		return false
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -71,6 +71,36 @@
 	})
 }
 
+// loseLeader powers off the leader, waits until another instance leads, and returns the former one.
+func (ha *harness) loseLeader() int {
+	former := ha.leader()
+	ha.powerOff(former)
+	for ha.leader() == former {
+		ha.sleep(10 * time.Millisecond)
+	}
+	return former
+}
+
+// TestLostLeaders guards against work on an unreachable worker that waits 12 s longer than any lease can
+// last, because a leader that was lost soon after its takeover knew of one before it (LOST).
+func TestLostLeaders(t *testing.T) {
+	t.Run("once the processes of all former leaders have ended, runs wait for one lease", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			ha.sleep(settledTime)
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(20), tasks(1, 8)))
+			ha.sleep(2 * time.Second)
+			ha.cluster.Crash(ha.cluster.RunnersOf(jo.ID)[0], 0)
+			lost := []int{ha.loseLeader(), ha.loseLeader()}
+			ha.sleep(2 * time.Second)
+			for _, at := range lost {
+				ha.restart(at)
+			}
+			ha.sleep(leaseTime + 2*time.Second) // the lease, the clock's drift, and the questions to the former leaders
+			asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 1)
+		})
+	})
+}
+
 // TestReplacedWorker guards against work that waits for the leases of a worker at whose address another one
 // answers, so that it has certainly ended (LOST).
 func TestReplacedWorker(t *testing.T) {
@@ -80,13 +110,8 @@
 		"under the leader that saw its end": func(*harness) {},
 		"under a new leader":                func(ha *harness) { ha.powerOff(ha.leader()) },
 		"under the second new leader": func(ha *harness) {
-			for range 2 {
-				former := ha.leader()
-				ha.powerOff(former)
-				for ha.leader() == former {
-					ha.sleep(10 * time.Millisecond)
-				}
-			}
+			ha.loseLeader()
+			ha.loseLeader()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
