Keep only the open occurrences of a repeated job

Cause, the first of three: the row of a job kept an entry for each step of each occurrence, also of the finished ones, so that it only grew, until the store refused it. A plan took longer with them as well. Change: a repeated job drops an occurrence once all its tasks are done. The row names the open occurrences; rows of earlier versions are still read. At most 1,000 tasks of open occurrences are held at a time (an occurrence may have as many), so that a job of which everything is due does not fill plans and rows. Why it works: the row is bounded by what is open, not by what was done.

--- a/decisions/workload/transitions.go
+++ b/decisions/workload/transitions.go
@@ -175,9 +175,11 @@
 	return true
 }
 
-// completeIfDone marks the job as completed once all tasks of all occurrences are done.
+// completeIfDone drops finished occurrences, and marks the job as completed once all tasks of all
+// occurrences are done.
 func (jo *Job) completeIfDone() {
-	if jo.State.Final() || len(jo.Stages) < jo.Occurrences*len(jo.Steps) {
+	jo.DropFinished()
+	if jo.State.Final() || jo.Due < jo.Occurrences {
 		return
 	}
 	for _, st := range jo.Stages {
@@ -201,6 +203,9 @@
 
 // NeverStarted reports whether no run was ever recorded for any task of the job.
 func (jo *Job) NeverStarted() bool {
+	if jo.Open() < jo.Due {
+		return false
+	}
 	for _, st := range jo.Stages {
 		for i := range st.Tasks {
 			if st.Tasks[i].Run > 0 {
--- a/decisions/workload/validate.go
+++ b/decisions/workload/validate.go
@@ -6,11 +6,10 @@
 )
 
 const (
-	// maxTasks limits the tasks of a job, and thereby the size of its row: 64 KiB hold
-	// about 1,000 started tasks.
+	// maxTasks limits the tasks of an occurrence of a job, and those of its open occurrences together.
+	// It thereby limits the size of the job's row and the time of a plan.
 	maxTasks = 1000
-	// maxAllTasks limits the tasks of all occurrences of a job, which a leader holds in memory once
-	// they are due.
+	// maxAllTasks limits the tasks of all occurrences of a job.
 	maxAllTasks = 100_000
 	// maxSteps limits the steps of a job.
 	maxSteps = 100
--- a/decisions/workload/workload_test.go
+++ b/decisions/workload/workload_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 )
 
@@ -282,3 +283,65 @@
 		}
 	})
 }
+
+// TestOpenOccurrences guards against a repeated job whose row and whose share of each plan grow with all
+// that it has finished (LOST).
+func TestOpenOccurrences(t *testing.T) {
+	repeated := func(count, occurrences int) *workload.Job {
+		jo := &workload.Job{ID: "0123456789abcdef", Steps: []workload.Step{{Count: count}}, Occurrences: occurrences, FirstDue: 1000, Interval: 1000}
+		jo.AddDueStages(1000 * clock.Millis(occurrences))
+		return jo
+	}
+	finish := func(jo *workload.Job, occurrence int) bool {
+		st := jo.Stage(occurrence, 0)
+		changed := true
+		for i := range st.Tasks {
+			st.Tasks[i].Phase, st.Tasks[i].Run = workload.Running, 1
+			changed = jo.CompleteRun(jo.Key(st, i), workload.Completion{Run: 1, Outcome: workload.OutcomeDone}, 3) && changed
+		}
+		return changed
+	}
+	t.Run("a finished occurrence is dropped, in any order", func(t *testing.T) {
+		jo := repeated(2, 5)
+		for _, occurrence := range []int{3, 0, 1} {
+			asserter.Equal(t, finish(jo, occurrence), true)
+			asserter.Equal(t, jo.Stage(occurrence, 0) == nil, true)
+		}
+		asserter.Equal(t, jo.Open(), 2)
+		asserter.Equal(t, jo.Stage(2, 0).Occurrence, 2)
+		asserter.Equal(t, jo.Stage(4, 0).Occurrence, 4)
+		asserter.Equal(t, jo.State.Final(), false)
+	})
+	t.Run("the job is done when all occurrences are", func(t *testing.T) {
+		jo := repeated(1, 3)
+		for occurrence := range 3 {
+			finish(jo, occurrence)
+		}
+		asserter.Equal(t, jo.State, workload.Completed)
+	})
+	t.Run("a late completion of a dropped occurrence changes nothing", func(t *testing.T) {
+		jo := repeated(1, 3)
+		key := jo.Key(jo.Stage(1, 0), 0)
+		finish(jo, 1)
+		asserter.Equal(t, jo.CompleteRun(key, workload.Completion{Run: 1, Outcome: workload.OutcomeDone}, 3), false)
+	})
+	t.Run("a job of which only dropped occurrences have started is not pending", func(t *testing.T) {
+		jo := repeated(1, 3)
+		asserter.Equal(t, jo.NeverStarted(), true)
+		finish(jo, 0)
+		asserter.Equal(t, jo.NeverStarted(), false)
+	})
+	t.Run("the open occurrences have a limited number of tasks", func(t *testing.T) {
+		jo := repeated(100, 50)
+		asserter.Equal(t, jo.Open(), 10)
+		finish(jo, 4)
+		asserter.Equal(t, jo.AddDueStages(60_000) > 0, true)
+		asserter.Equal(t, jo.Open(), 10)
+		asserter.Equal(t, jo.Stage(10, 0).Occurrence, 10)
+	})
+	t.Run("a job with one occurrence keeps it", func(t *testing.T) {
+		jo := newJob(workload.Step{Count: 1})
+		finish(jo, 0)
+		asserter.Equal(t, jo.Open(), 1)
+	})
+}
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -101,6 +101,9 @@
 	// Occurrences Number of occurrences that have become due.
 	Occurrences int `json:"occurrences,omitempty"`
 
+	// Open Occurrences that are due and not finished; null in rows of versions that kept all of them.
+	Open []int `json:"open"`
+
 	// Reason Why the job failed.
 	Reason string `json:"reason,omitempty"`
 
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -129,7 +129,7 @@
 		view.Why = append(view.Why, te.explainStage(en.job, st, qu, pool))
 	}
 	if len(en.job.Stages) == 0 {
-		view.Why = []string{"the first occurrence is not due yet"}
+		view.Why = []string{"the next occurrence is not due yet"}
 	}
 	return view
 }
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -108,10 +108,13 @@
 // omitted.
 func EncodeProgress(jo *workload.Job, endedAt clock.Millis) ledger.Progress {
 	pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Workspace: jo.Workspace, Reason: jo.Reason, EndedAt: endedAt}
-	pr.Occurrences = len(jo.Stages) / len(jo.Steps)
-	for at, sg := range jo.Stages {
+	pr.Occurrences, pr.Open = jo.Due, make([]int, 0, jo.Open())
+	for i, sg := range jo.Stages {
+		if i%len(jo.Steps) == 0 {
+			pr.Open = append(pr.Open, sg.Occurrence)
+		}
 		if out := encodeStage(sg); out != nil {
-			out.At = at
+			out.At = sg.Occurrence*len(jo.Steps) + sg.Step
 			pr.Stages = append(pr.Stages, *out)
 		}
 	}
@@ -163,30 +166,40 @@
 	for _, st := range su.Steps {
 		jo.Steps = append(jo.Steps, decodeStep(st))
 	}
-	if len(jo.Steps) == 0 || jo.Occurrences < 1 || pr.Occurrences > jo.Occurrences {
-		return nil, eris.Errorf("rows of job %s were not written by this program: no steps, no occurrences, or more occurrences recorded than planned", id)
+	if len(jo.Steps) == 0 || jo.Occurrences < 1 || pr.Occurrences > jo.Occurrences || !jo.Restore(pr.Occurrences, openOccurrences(pr)) {
+		return nil, eris.Errorf("rows of job %s were not written by this program: no steps, no occurrences, or other occurrences recorded than planned", id)
 	}
 	state, err := ParseState(pr.State)
 	if err != nil {
 		return nil, err
 	}
 	jo.State = state
-	if pr.Occurrences > 0 {
-		jo.AddDueStages(jo.DueAt(pr.Occurrences - 1))
-	}
 	for _, sg := range pr.Stages {
 		if err := decodeStage(jo, sg); err != nil {
 			return nil, err
 		}
 	}
+	jo.DropFinished()
 	return jo, nil
 }
 
+// openOccurrences lists the open occurrences of a row. Rows of earlier versions hold all that were due.
+func openOccurrences(pr ledger.Progress) []int {
+	if pr.Open != nil {
+		return pr.Open
+	}
+	all := make([]int, max(pr.Occurrences, 0))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
 func decodeStage(jo *workload.Job, in ledger.Stage) error {
-	if in.At < 0 || in.At >= len(jo.Stages) {
-		return eris.Errorf("rows of job %s were not written by this program: stage %d is out of range", jo.ID, in.At)
+	sg := jo.Stage(in.At/len(jo.Steps), in.At%len(jo.Steps))
+	if sg == nil {
+		return eris.Errorf("rows of job %s were not written by this program: stage %d is not of an open occurrence", jo.ID, in.At)
 	}
-	sg := jo.Stages[in.At]
 	sg.Failures, sg.FailedRun = in.Failures, meter.RunNumber(in.FailedRun)
 	for i := range sg.Tasks {
 		if hasBit(in.Done, i) {
--- a/wagtailcroftd/recorder/recorder_test.go
+++ b/wagtailcroftd/recorder/recorder_test.go
@@ -53,3 +53,51 @@
 		}
 	})
 }
+
+// TestRowSize guards against a row that outgrows what the store accepts, so that nothing of any job is
+// recorded any more (LOST).
+func TestRowSize(t *testing.T) {
+	repeated := func() *workload.Job {
+		return &workload.Job{
+			ID: "5c0e7a21d94b36f8", Occurrences: 5000, Interval: 1000,
+			Steps: []workload.Step{{Count: 3}, {Count: 1, After: []int{0}}},
+		}
+	}
+	t.Run("the row of a repeated job does not grow with its finished occurrences", func(t *testing.T) {
+		jo := repeated()
+		for occurrence := range 4000 {
+			jo.AddDueStages(jo.DueAt(occurrence))
+			for step := range jo.Steps {
+				st := jo.Stage(occurrence, step)
+				for i := range st.Tasks {
+					st.Tasks[i] = workload.Task{Phase: workload.Running, Run: 1, Worker: "w"}
+					jo.CompleteRun(jo.Key(st, i), workload.Completion{Run: 1, Outcome: workload.OutcomeDone}, 3)
+				}
+			}
+		}
+		if size := len(recorder.Encode(recorder.EncodeProgress(jo, 0))); size > 200 {
+			t.Fatalf("the row has %d bytes", size)
+		}
+		got, err := recorder.DecodeJob(jo.ID, recorder.EncodeSubmission(jo), recorder.EncodeProgress(jo, 0))
+		asserter.NoError(t, err)
+		asserter.Equal(t, got.Due, 4000)
+		asserter.Equal(t, got.Open(), 0)
+	})
+	t.Run("a row of an earlier version holds all occurrences that were due", func(t *testing.T) {
+		jo := repeated()
+		pr := ledger.Progress{State: "running", Occurrences: 3, Stages: []ledger.Stage{{At: 0, Done: []byte{7}}, {At: 1, Done: []byte{1}}, {At: 2, Done: []byte{7}}}}
+		got, err := recorder.DecodeJob(jo.ID, recorder.EncodeSubmission(jo), pr)
+		asserter.NoError(t, err)
+		asserter.Equal(t, got.Open(), 2)
+		asserter.Equal(t, got.Stage(1, 0).Finished(), true)
+		asserter.Equal(t, got.Stage(2, 0).Finished(), false)
+	})
+	t.Run("open occurrences that are not due or out of order are rejected", func(t *testing.T) {
+		jo := repeated()
+		for _, open := range [][]int{{3}, {1, 0}, {-1}} {
+			if _, err := recorder.DecodeJob(jo.ID, recorder.EncodeSubmission(jo), ledger.Progress{State: "running", Occurrences: 3, Open: open}); err == nil {
+				t.Errorf("open occurrences %v were accepted", open)
+			}
+		}
+	})
+}
