Keep the row of a job under what the store accepts, and refuse what can't be kept

Cause, the second of three: nothing compared a row with the store's rowBytes. A started task took 75 bytes and more with its checkpoint, so that 1,000 of them, which are allowed, did not fit into 65,536. Change: rowBytes is read as rowLimit. A job whose rows may not fit is refused with 400 and the reason when it is submitted. Checkpoints that do not fit are left out of the row, which costs work only if the leader changes; a job whose row is too large even so fails, with the reason. Why it works: what is accepted fits by construction, and the bound follows the settings of the deployment.

--- a/decisions/workload/crashes.go
+++ b/decisions/workload/crashes.go
@@ -40,9 +40,7 @@
 	}
 	*total += weight
 	if *total >= maxCrashWeight {
-		jo.State = Failed
-		jo.Reason = fmt.Sprintf("workers have crashed under task %d of step %d again and again", tk.Index, st.Step)
-		jo.StopRuns()
+		jo.Fail(fmt.Sprintf("workers have crashed under task %d of step %d again and again", tk.Index, st.Step))
 	}
 	return true
 }
--- a/decisions/workload/transitions.go
+++ b/decisions/workload/transitions.go
@@ -106,8 +106,15 @@
 	if jo.StepOf(st).LongRunning || attempts <= 0 || count < attempts || jo.State.Final() {
 		return false
 	}
-	jo.State = Failed
-	jo.Reason = fmt.Sprintf("step %d failed %d times", st.Step, count)
+	return jo.Fail(fmt.Sprintf("step %d failed %d times", st.Step, count))
+}
+
+// Fail fails the job for a reason. It reports whether the job changed.
+func (jo *Job) Fail(reason string) bool {
+	if jo.State.Final() {
+		return false
+	}
+	jo.State, jo.Reason = Failed, reason
 	jo.StopRuns()
 	return true
 }
--- a/demo/failovertester/failovertester.go
+++ b/demo/failovertester/failovertester.go
@@ -185,7 +185,7 @@
 		Instance: identifier.Instance(name), Zone: "demo", CallerAddress: addresses[0], ReadinessAddress: addresses[1],
 		MetricsAddress: addresses[2], PeerAddress: addresses[3], StoreAddress: cl.server.StoreAddress, AdviceAddress: cl.server.AdviceAddress,
 		MachinesAddress: cl.server.MachinesAddress, MemoryLimit: memoryLimit, LeaseMillis: 10_000, LeadershipLeaseMillis: 3000,
-		TakeoverTimeoutMillis: 2250, UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: 256,
+		TakeoverTimeoutMillis: 2250, UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: 256, RowLimit: 65_536,
 	}, participant.Dependencies{
 		Clock: clock.New(), Log: zerolog.New(log), Metrics: instrumenter.New(), Tracer: tracer.Nop(), Dial: (&net.Dialer{}).DialContext,
 	})
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -51,6 +51,9 @@
 	// RetentionMillis How long ended jobs are kept, in milliseconds.
 	RetentionMillis externalRef0.Millis `json:"retentionMillis" toml:"retentionMillis" validate:"min=1000"`
 
+	// RowLimit Largest value of a row that the table service accepts, in bytes. Jobs whose rows may not fit are refused.
+	RowLimit externalRef0.Bytes `json:"rowLimit" toml:"rowLimit" validate:"min=4096"`
+
 	// StopGraceMillis Maximum time that a run takes to end after it was stopped, in milliseconds.
 	StopGraceMillis externalRef0.Millis `json:"stopGraceMillis" toml:"stopGraceMillis" validate:"min=0,max=60000"`
 
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -21,6 +21,8 @@
 	readLatency  = 4 * time.Millisecond
 	// maxRowsPerReply is the maximum number of rows in a reply.
 	maxRowsPerReply = 500
+	// maxRowBytes is the largest value of a row.
+	maxRowBytes = 65_536
 	// maxTransactionEntries is the maximum number of entries in a transaction.
 	maxTransactionEntries = 100
 )
@@ -146,6 +148,10 @@
 		http.Error(wr, "the transaction has too many entries", http.StatusRequestEntityTooLarge)
 		return
 	}
+	if slices.ContainsFunc(tx.Puts, func(pu wire.RowPut) bool { return len(pu.Value) > maxRowBytes }) {
+		http.Error(wr, "a value is too large", http.StatusBadRequest)
+		return
+	}
 	st.delay(writeLatency, rq) // the transaction is applied even if the caller has disconnected
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
 
 	"github.com/rotisserie/eris"
@@ -125,7 +126,7 @@
 		}
 		return ch
 	}
-	ch.value = recorder.Encode(recorder.EncodeProgress(jo, 0))
+	ch.value = te.encodeJob(jo)
 	ch.tr.Puts = []rowstore.Put{{Key: key, Value: ch.value}}
 	jo.EachHeld(func(st *workload.Stage, index int, ta *workload.Task) {
 		wo := te.workers[ta.Worker]
@@ -139,6 +140,22 @@
 	return ch
 }
 
+// encodeJob encodes the row of a job that has runs left. A job whose row does not fit is failed, so that
+// it holds up no other; the row of its outcome names no runs, so that another leader would stop these as
+// orphans.
+func (te *term) encodeJob(jo *workload.Job) []byte {
+	value, ok := recorder.EncodeJob(jo, te.op.RowLimit)
+	if ok {
+		return value
+	}
+	if jo.Fail(fmt.Sprintf("its progress takes %d bytes, a row of the store at most %d", len(value), te.op.RowLimit)) {
+		te.Metrics.Count("jobs", jo.State.String())
+		te.log.Error().Str("job", string(jo.ID)).Str("state", jo.State.String()).Str("why", jo.Reason).Msg("jobEnded")
+		te.markStops(jo)
+	}
+	return recorder.EncodeOutcome(jo)
+}
+
 // commit records a batch. It returns false when the term is over. Changes that were rejected
 // because of a conflict are retried in the next round.
 func (te *term) commit(ba batch) bool {
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -114,6 +114,8 @@
 		MaxPolls int
 		// Retention is how long ended jobs are kept.
 		Retention clock.Millis
+		// RowLimit is the largest value of a row that the store accepts.
+		RowLimit meter.Bytes
 	}
 
 	// Dependencies holds the clients and other objects that a controller uses.
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -90,6 +90,8 @@
 		// maxPolicyAge is the time since the configuration was last confirmed beyond which
 		// callers are refused.
 		maxPolicyAge clock.Millis
+		// rowLimit is the largest value of a row that the store accepts.
+		rowLimit meter.Bytes
 
 		mu locker.Mutex
 		// overdue counts the writes in progress whose first attempt was not answered;
@@ -112,6 +114,7 @@
 	Options struct {
 		ConfigKey    rowstore.Key
 		MaxPolicyAge clock.Millis
+		RowLimit     meter.Bytes
 		Metrics      Metrics
 	}
 )
@@ -119,7 +122,7 @@
 // New returns an intake.
 func New(st Store, po Policies, cl Clock, log zerolog.Logger, op Options) *Intake {
 	return &Intake{
-		store: st, policies: po, configKey: op.ConfigKey, cl: cl, log: log, metrics: op.Metrics, maxPolicyAge: op.MaxPolicyAge,
+		store: st, policies: po, configKey: op.ConfigKey, cl: cl, log: log, metrics: op.Metrics, maxPolicyAge: op.MaxPolicyAge, rowLimit: op.RowLimit,
 		mu: locker.New(locker.RankAdmission),
 	}
 }
@@ -145,6 +148,12 @@
 // Submit stores a job. A job that is already stored counts as accepted. An error with the
 // outcome NotRun is definite: the job is not stored and will not be.
 func (in *Intake) Submit(ctx context.Context, ac policy.Access, jo *workload.Job) error {
+	if err := recorder.CheckSize(jo, in.rowLimit); err != nil {
+		in.metrics.Count("submits", outcome(err))
+		in.log.Info().Str("job", string(jo.ID)).Str("queue", string(ac.Queue.Name)).Str("workspace", string(ac.Workspace)).
+			Int64("policy", int64(ac.Version)).AnErr("refusal", err).Msg("jobSubmitted")
+		return err
+	}
 	if in.inOutage() || !in.awaitOverdue(ctx) {
 		return in.unavailable("the store failed recently or has not answered a previous write")
 	}
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -150,7 +150,7 @@
 		Instance: identifier.Instance(name), StoreAddress: fleet.StoreAddress, MemoryLimit: meter.Bytes(1 << 28),
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeadershipLeaseMillis: 3000,
 		PeerAddress: name, ElectionDelayMillis: ha.electionDelays[name], LeaseMillis: clock.FromDuration(leaseTime), TakeoverTimeoutMillis: clock.FromDuration(takeoverTimeout),
-		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: ha.maxPolls,
+		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: ha.maxPolls, RowLimit: 65_536,
 	}, participant.Dependencies{Clock: clock.NewRuntime(), Log: instanceLogger(name), Metrics: instrumenter.New(), Transport: ha.cluster.Transport(name), Tracer: tracer.Nop(), Dial: ha.peers.dial,
 		LeadershipChanged: func(leading bool) { ha.leads.Store(name, leading) }})
 	ln := ha.peers.listen(name)
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -3,7 +3,6 @@
 package recorder
 
 import (
-	"encoding/json"
 	"strconv"
 
 	"github.com/rotisserie/eris"
@@ -54,25 +53,6 @@
 	return rowstore.Key{Table: Waves, Name: strconv.FormatInt(number, 10)}
 }
 
-// Encode returns a row's value as JSON. It panics if that fails, which is impossible for the
-// types of package ledger.
-func Encode(value any) []byte {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
-// Decode parses a row's value from JSON.
-func Decode[T any](row rowstore.Row) (T, error) {
-	var value T
-	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return value, eris.Wrapf(err, "decode row %s of table %s; it may have been written by another program or version", row.Name, row.Table)
-	}
-	return value, nil
-}
-
 // EncodeSubmission encodes a job as it was accepted.
 func EncodeSubmission(jo *workload.Job) ledger.Submission {
 	su := ledger.Submission{
--- a/wagtailcroftd/recorder/recorder_test.go
+++ b/wagtailcroftd/recorder/recorder_test.go
@@ -1,12 +1,18 @@
 package recorder_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
@@ -101,3 +107,78 @@
 		}
 	})
 }
+
+// wideJob returns a job whose tasks are all at work, each on a worker of its own and with a checkpoint of
+// random characters.
+func wideJob(tasks, checkpointLength int) *workload.Job {
+	random := rand.New(rand.NewPCG(1, 2))
+	hex := func(length int) string {
+		text := make([]byte, length)
+		for i := range text {
+			text[i] = "0123456789abcdef"[random.IntN(16)]
+		}
+		return string(text)
+	}
+	jo := &workload.Job{ID: "5c0e7a21d94b36f8", Workspace: "ws", Occurrences: 1, Steps: []workload.Step{{Count: tasks}}}
+	jo.AddDueStages(0)
+	for i := range tasks {
+		jo.Stages[0].Tasks[i] = workload.Task{
+			Phase: workload.Running, Run: 1 + meter.RunNumber(random.IntN(9)), Worker: identifier.Worker("i-" + hex(10)),
+			Incarnation: workload.Incarnation(1_790_000_000_000 + random.Int64N(1_000_000_000)), Checkpoint: hex(checkpointLength),
+		}
+	}
+	return jo
+}
+
+// TestWideJob guards against the row of a job with many tasks at work that the store refuses (LOST).
+func TestWideJob(t *testing.T) {
+	const limit = 65_536
+	decode := func(t *testing.T, jo *workload.Job, value []byte) *workload.Job {
+		t.Helper()
+		pr, err := recorder.Decode[ledger.Progress](rowstore.Row{Value: value})
+		asserter.NoError(t, err)
+		got, err := recorder.DecodeJob(jo.ID, recorder.EncodeSubmission(jo), pr)
+		asserter.NoError(t, err)
+		return got
+	}
+	t.Run("the row of the widest job fits and is decoded", func(t *testing.T) {
+		jo := wideJob(1000, 16)
+		value, ok := recorder.EncodeJob(jo, limit)
+		asserter.Equal(t, ok, true)
+		asserter.Equal(t, reflect.DeepEqual(decode(t, jo, value), jo), true)
+	})
+	t.Run("the widest job that is accepted fits under a lower limit", func(t *testing.T) {
+		for _, lower := range []meter.Bytes{8_192, 16_384, 32_768} {
+			tasks := 0
+			for recorder.CheckSize(wideJob(tasks+1, 0), lower) == nil {
+				tasks++
+			}
+			value, _ := recorder.EncodeJob(wideJob(tasks, 16), 0)
+			asserter.Equal(t, meter.Bytes(len(value)) <= lower, true)
+		}
+	})
+	t.Run("checkpoints that do not fit are left out", func(t *testing.T) {
+		jo := wideJob(1000, 200)
+		value, ok := recorder.EncodeJob(jo, limit)
+		asserter.Equal(t, ok, true)
+		got := decode(t, jo, value)
+		asserter.Equal(t, got.Stages[0].Tasks[7].Checkpoint, "")
+		asserter.Equal(t, got.Stages[0].Tasks[7].Worker, jo.Stages[0].Tasks[7].Worker)
+	})
+	t.Run("a row that is too large even so is told", func(t *testing.T) {
+		_, ok := recorder.EncodeJob(wideJob(1000, 16), 2000)
+		asserter.Equal(t, ok, false)
+	})
+	t.Run("a job that cannot be kept is refused with the reason", func(t *testing.T) {
+		asserter.Kind(t, recorder.CheckSize(wideJob(500, 0), 16_384), problem.BadBody)
+		long := wideJob(1, 0)
+		long.Payload = strings.Repeat("x1", 4000)
+		for i := range long.Payload {
+			if i%7 == 0 {
+				long.Steps = append(long.Steps, workload.Step{Count: 1, Image: fmt.Sprint(i * 7919)})
+			}
+		}
+		asserter.Kind(t, recorder.CheckSize(long, 4096), problem.BadBody)
+		asserter.NoError(t, recorder.CheckSize(wideJob(1000, 0), limit))
+	})
+}
