Write a row that the store refuses apart from all others, and keep leading

Change: a refused transaction is written in halves until the refused row is alone; it is written again after 5 s (jobRowRefused), all others at once. Only a refusal without any job's row ends the term. Completions are acknowledged to each worker up to the first that no row contains; before, one missing row held back all of a round, and a row that was not tried would have held back none. Why it works: the rows of other jobs no longer share the fate of the refused one, and an end that is not recorded is still not acknowledged.

--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -26,6 +26,8 @@
 	// countsInterval is the shortest time between two writes of the pending-job counts, which
 	// may be up to 2 s old.
 	countsInterval = 500 * clock.Millis(1)
+	// refusedRowPause is the time after which a row that the store has refused is written again.
+	refusedRowPause = 5 * clock.Second
 )
 
 type (
@@ -39,6 +41,11 @@
 		ended bool
 		// runs are the runs that the row contains and that were not recorded before.
 		runs []newRun
+		// ends holds the first completion of each worker that the row contains and that was not recorded
+		// before.
+		ends map[*worker]completionID
+		// recorded means that the store holds the row.
+		recorded bool
 	}
 
 	// newRun is a run and the worker on which it is placed.
@@ -59,8 +66,8 @@
 		first, sent clock.Millis
 	}
 
-	// lastCompletion is the number of the last completion of one incarnation of a worker.
-	lastCompletion struct {
+	// completionID is the number of a completion of one incarnation of a worker.
+	completionID struct {
 		incarnation workload.Incarnation
 		number      meter.CompletionNumber
 	}
@@ -70,7 +77,7 @@
 		changes []change
 		// completions holds, for each worker, the number of the last completion that the batch
 		// includes.
-		completions map[*worker]lastCompletion
+		completions map[*worker]completionID
 		// counts is nil if the pending-job counts need not be written.
 		counts map[string]int
 	}
@@ -78,18 +85,21 @@
 
 // batch collects the changes that are not recorded yet. It is called with mu held.
 func (te *term) batch() batch {
-	ba := batch{completions: map[*worker]lastCompletion{}}
+	ba := batch{completions: map[*worker]completionID{}}
 	now := te.Clock.Now()
 	for _, en := range te.sortedJobs() {
+		if now < en.refusedUntil {
+			continue
+		}
 		if en.dirty || (en.job.State.Final() && en.job.NoRunsLeft()) {
 			te.markStops(en.job)
 			ba.changes = append(ba.changes, te.change(en))
-			en.dirty = false
+			en.dirty, en.unrecorded = false, nil
 		}
 	}
 	for _, wo := range te.workers {
 		if wo.applied > wo.recorded {
-			ba.completions[wo] = lastCompletion{incarnation: wo.report.Incarnation, number: wo.applied}
+			ba.completions[wo] = completionID{incarnation: wo.told, number: wo.applied}
 		}
 	}
 	if counts := te.countPending(); te.loaded && now-te.countedAt >= countsInterval && !maps.Equal(counts, te.pendingCounts) {
@@ -114,7 +124,7 @@
 func (te *term) change(en *entry) change {
 	jo := en.job
 	key := recorder.JobKey(recorder.Jobs, jo.ID)
-	ch := change{entry: en, tr: rowstore.Transaction{Preconditions: []rowstore.Precondition{{Key: key, Version: en.version}}}}
+	ch := change{entry: en, ends: en.unrecorded, tr: rowstore.Transaction{Preconditions: []rowstore.Precondition{{Key: key, Version: en.version}}}}
 	if jo.State.Final() && jo.NoRunsLeft() {
 		ch.ended = true
 		pr := ledger.Progress{State: ledger.ProgressState(jo.State.String()), Workspace: jo.Workspace, Reason: jo.Reason, EndedAt: te.Clock.TimeOfDay()}
@@ -159,11 +169,10 @@
 // commit records a batch. It returns false when the term is over. Changes that were rejected
 // because of a conflict are retried in the next round.
 func (te *term) commit(ba batch) bool {
-	complete := true
 	rest, counts, renew, renewed := ba.changes, ba.counts, te.renewalDue(), false
 	for len(rest) > 0 || counts != nil || renew {
 		part, left := split(rest)
-		done, ok := te.writeChanges(part, renew, counts)
+		ok := te.writeChanges(part, renew, counts)
 		rest, counts, renewed = left, nil, renewed || renew
 		// A write that an outage has held up is followed by a renewal at once, before a standby takes
 		// over. A round with nothing left ends after one renewal, even if a commit takes as long as
@@ -172,19 +181,53 @@
 		if !ok {
 			return false
 		}
-		complete = complete && done
 	}
-	if complete {
-		te.mu.Lock()
-		for wo, last := range ba.completions {
-			if wo.report.Incarnation == last.incarnation {
-				wo.recorded = max(wo.recorded, last.number)
-				te.mark(wo)
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	te.markCompletionsRecorded(ba)
+	return true
+}
+
+// markCompletionsRecorded lets the completions of a batch be acknowledged, of each worker up to the first
+// that a row contains which the store does not hold.
+func (te *term) markCompletionsRecorded(ba batch) {
+	for i := range ba.changes {
+		if ch := &ba.changes[i]; !ch.recorded {
+			for wo, id := range ch.ends {
+				ch.entry.noteUnrecorded(wo, id)
 			}
 		}
-		te.mu.Unlock()
 	}
-	return true
+	first := map[*worker]completionID{}
+	for _, en := range te.jobs {
+		for wo, id := range en.unrecorded {
+			if id.incarnation == wo.told && (first[wo].number == 0 || id.number < first[wo].number) {
+				first[wo] = id
+			}
+		}
+	}
+	for wo, last := range ba.completions {
+		if wo.told != last.incarnation {
+			continue
+		}
+		number := last.number
+		if unrecorded := first[wo].number; unrecorded > 0 {
+			number = min(number, unrecorded-1)
+		}
+		wo.recorded = max(wo.recorded, number)
+		te.mark(wo)
+	}
+}
+
+// noteUnrecorded notes a completion that the row of the job does not contain yet.
+func (en *entry) noteUnrecorded(wo *worker, id completionID) {
+	if known, noted := en.unrecorded[wo]; noted && known.incarnation == id.incarnation && known.number <= id.number {
+		return
+	}
+	if en.unrecorded == nil {
+		en.unrecorded = map[*worker]completionID{}
+	}
+	en.unrecorded[wo] = id
 }
 
 // split returns the changes that fit into one transaction, and those left over.
@@ -200,9 +243,9 @@
 	return changes, nil
 }
 
-// writeChanges records changes under the fencing token. done is false if a conflict kept the
-// changes out, ok is false if the term is over.
-func (te *term) writeChanges(changes []change, renew bool, counts map[string]int) (done, ok bool) {
+// writeChanges records changes under the fencing token, except those that a conflict or a refusal keeps
+// out. It returns false if the term is over.
+func (te *term) writeChanges(changes []change, renew bool, counts map[string]int) bool {
 	wr := &write{changes: changes, renew: renew, next: te.leadership.Leader(), counts: counts, first: te.Clock.Now()}
 	tr := rowstore.Transaction{Preconditions: []rowstore.Precondition{{Key: recorder.LeadershipKey, Version: te.leadership.Version()}}}
 	if renew {
@@ -229,7 +272,7 @@
 		case err == nil:
 			te.Metrics.Count("records", "done")
 			te.markRecorded(wr, version, wr.sent)
-			return true, true
+			return true
 		case eris.As(err, &conflict):
 			return te.resolveConflict(wr, conflict)
 		case eris.Is(err, rowstore.ErrNotExecuted) || eris.Is(err, rowstore.ErrOutcomeUnknown):
@@ -240,11 +283,30 @@
 			clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
 		default:
 			te.log.Error().Err(err).Int("jobs", len(changes)).Msg("commitRejected")
-			te.loseLeadership("the store rejected a transaction")
-			return false, false
+			return te.isolate(changes, renew, counts)
 		}
 	}
-	return false, false
+	return false
+}
+
+// isolate records the changes of a transaction that the store has refused in smaller ones, so that a row
+// that it does not accept keeps out no other. Such a row is written again after a pause.
+func (te *term) isolate(changes []change, renew bool, counts map[string]int) bool {
+	switch len(changes) {
+	case 0:
+		te.loseLeadership("the store rejected a transaction")
+		return false
+	case 1:
+		en := changes[0].entry
+		te.mu.Lock()
+		en.refusedUntil, en.dirty = te.Clock.Now()+refusedRowPause, true
+		te.mu.Unlock()
+		te.Metrics.Count("records", "refused")
+		te.log.Error().Str("job", string(en.job.ID)).Int("bytes", len(changes[0].value)).Msg("jobRowRefused")
+		return !renew && counts == nil || te.writeChanges(nil, renew, counts)
+	}
+	half := len(changes) / 2
+	return te.writeChanges(changes[:half], renew, counts) && te.writeChanges(changes[half:], false, nil)
 }
 
 // markRecorded updates the state of the term after a write that took effect at a time or later.
@@ -270,7 +332,7 @@
 }
 
 func (te *term) markChangeRecorded(ch *change, version meter.RowVersion) {
-	ch.entry.version = version
+	ch.entry.version, ch.recorded = version, true
 	for _, ru := range ch.runs {
 		ru.recorded, ru.dueSince = true, te.Clock.Now()
 		te.mark(ru.worker)
@@ -281,8 +343,9 @@
 }
 
 // resolveConflict finds the cause of a conflict: an earlier attempt of the same transaction
-// took effect, the leadership was lost, or the row of a job differs from the expected one.
-func (te *term) resolveConflict(wr *write, co *rowstore.ConflictError) (done, ok bool) {
+// took effect, the leadership was lost, or the row of a job differs from the expected one. It returns
+// false if the term is over.
+func (te *term) resolveConflict(wr *write, co *rowstore.ConflictError) bool {
 	leaderRow := co.Row(recorder.LeadershipKey)
 	if te.tookEffect(wr, co) {
 		version := leaderRow.Version
@@ -290,18 +353,18 @@
 			version = max(version, co.Row(recorder.JobKey(recorder.Jobs, wr.changes[i].entry.job.ID)).Version)
 		}
 		te.markRecorded(wr, version, wr.first)
-		return true, true
+		return true
 	}
 	if leaderRow.Version != te.leadership.Version() {
 		te.loseLeadership("another instance has acquired the leadership")
-		return false, false
+		return false
 	}
 	te.mu.Lock()
 	defer te.mu.Unlock()
 	for i := range wr.changes {
 		te.refreshVersion(wr.changes[i].entry, co)
 	}
-	return false, true
+	return true
 }
 
 // tookEffect reports whether the rows are as the transaction would have left them.
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -98,7 +98,7 @@
 		te, st := newTestTerm(t)
 		st.cl.Advance(500)
 		sent := st.cl.Now()
-		_, ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, true, nil)
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.changeBy(), sent+elector.ExclusivePeriod)
 	})
@@ -106,7 +106,7 @@
 		te, st := newTestTerm(t)
 		sent := st.cl.Now()
 		st.lost = 1
-		_, ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, true, nil)
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.renewedAt, sent)
 		asserter.Equal(t, st.cl.Now() >= te.changeBy(), true)
@@ -115,7 +115,7 @@
 		te, _ := newTestTerm(t)
 		te.transferEndsAt = te.attempted + 1
 		asserter.Equal(t, te.changeBy(), 0)
-		_, ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, true, nil)
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.changeBy() > 0, true)
 	})
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -174,6 +174,9 @@
 		if cr.Number > wo.applied {
 			wo.applied = cr.Number
 			te.completeRun(wo, cr.Task, cr.Completion)
+			if en := te.jobs[cr.Task.Job]; en != nil && en.dirty {
+				en.noteUnrecorded(wo, completionID{incarnation: wo.told, number: cr.Number})
+			}
 		}
 	}
 	listed := make(map[workload.TaskKey]meter.RunNumber, len(st.Running))
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -147,6 +147,10 @@
 		version meter.RowVersion
 		// dirty means that the job differs from its row.
 		dirty bool
+		// refusedUntil is when the row may be written again, after the store has refused it.
+		refusedUntil clock.Millis
+		// unrecorded holds, for each worker, the first completion that neither the row nor a batch contains.
+		unrecorded map[*worker]completionID
 		// cancelled means that the store holds a cancellation row for the job.
 		cancelled bool
 		// learnedAt is when this leader learned of the job.
