Conclude nothing from a run's absence in a list of ended runs that may be cut

Cause: a worker lists 500 ends at a time, and the next ones only after an acknowledgement, which needs the store. A run beyond them is listed neither as running nor as ended. It counted as missing, was stopped, and with the stop accepted it counted as over. Evidence: runMissing, stopSent, runEnded how=stopped and runScheduled run=2 follow each other in the outage, and the first ends come a few milliseconds after it. Change: an answer with 500 ends is marked as possibly cut, and the absence of a run in it proves nothing. Why it works: the ends that are listed are acknowledged once the store is back, so that the list becomes complete within a few polls and then decides.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -160,6 +160,8 @@
 		Incarnation workload.Incarnation
 		Running     []Running
 		Completed   []CompletedRun
+		// Truncated means that there may be more completed runs than Completed holds.
+		Truncated bool
 	}
 
 	// Running is a run that is in progress.
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -184,7 +184,7 @@
 		listed[ru.Task] = ru.Run
 		te.applyRunning(wo, ru, now)
 	}
-	missing := te.judgeRuns(wo, listed, sent)
+	missing := te.judgeRuns(wo, listed, assessor.Answer{Incarnation: wo.told, SentAt: sent, Truncated: st.Truncated})
 	te.throttle(wo, now)
 	return missing || runs != len(wo.runs) || orphans != len(wo.orphans) || incarnation != wo.report.Incarnation
 }
@@ -227,12 +227,11 @@
 	}
 }
 
-// judgeRuns judges the runs of a worker, and its orphans, by an answer to a poll that was sent at a time.
-// It reports whether a run is over, or is missing though the worker should list it.
-func (te *term) judgeRuns(wo *worker, listed map[workload.TaskKey]meter.RunNumber, sent clock.Millis) (found bool) {
-	answer := assessor.Answer{Incarnation: wo.told, SentAt: sent}
+// judgeRuns judges the runs of a worker, and its orphans, by an answer to a poll and the runs that it lists
+// as in progress. It reports whether a run is over, or is missing though the worker should list it.
+func (te *term) judgeRuns(wo *worker, listed map[workload.TaskKey]meter.RunNumber, answer assessor.Answer) (found bool) {
 	for key, pl := range wo.orphans {
-		if listed[key] != pl.run && pl.stoppedAt > 0 && pl.stoppedAt <= sent {
+		if listed[key] != pl.run && pl.stoppedAt > 0 && pl.stoppedAt <= answer.SentAt {
 			delete(wo.orphans, key)
 		}
 	}
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -137,3 +137,41 @@
 		})
 	})
 }
+
+// TestManyEndedRuns guards against work that is done again because the list of ended runs that a worker
+// returns was taken for complete, though it holds 500 at most (TWICE).
+func TestManyEndedRuns(t *testing.T) {
+	const jobs, tasksPerJob = 7, 220
+	for name, disturb := range map[string]func(ha *harness){
+		"under one leader": func(*harness) {},
+		"under a new leader, which sends their starts again": func(ha *harness) {
+			for at := range ha.instances {
+				ha.kill(at)
+			}
+			ha.cluster.StoreOutage("", fleet.NoOutage)
+			for at := range ha.instances {
+				ha.restart(at)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, 1, func(ha *harness) {
+				step := wire.StepBody{Count: tasksPerJob, CPU: 30, MemMb: 60, EstimateMs: 6000}
+				var all []fleet.Job
+				for i := range jobs {
+					all = append(all, ha.mustSubmit(0, ha.job(batchPrefix, seconds(7+0.1*float64(jobs-i)), step)))
+				}
+				ha.sleep(6 * time.Second)
+				asserter.Equal(t, ha.cluster.StartCount(), jobs*tasksPerJob)
+				ha.cluster.StoreOutage("", fleet.Busy)
+				ha.sleep(4500 * time.Millisecond)
+				disturb(ha)
+				ha.cluster.StoreOutage("", fleet.NoOutage)
+				for _, jo := range all {
+					ha.awaitState(0, jo, "completed", 15*time.Second)
+				}
+				asserter.Equal(t, ha.cluster.StartCount(), jobs*tasksPerJob)
+			})
+		})
+	}
+}
