Remember a start without an answer when a repeated one was confirmed

What callers could see: a task that runs on two workers (TWICE), if a start has no answer, is repeated and confirmed, the worker restarts under its id, and the first start is executed there seconds later. Not reported; found by a new model of a worker. Cause: the note that a start may still be executed was dropped when the run was confirmed, listed or stopped. The worker's next incarnation knows nothing of either. Change: the note stays, except for the only start that was ever sent and is listed. Such runs are stopped on the new incarnation before they are over; polls are short meanwhile (150 ms), so that this takes no longer than before. Why it works: the stop makes the incarnation refuse the late start. A stand-in that let every late command outlive its incarnation broke rules that nobody could keep (a start after the acknowledged end), so only TestLateStart does.

--- a/standin/fleet/transport.go
+++ b/standin/fleet/transport.go
@@ -37,7 +37,10 @@
 		// delayShare is the fraction of the commands that get no answer and are executed
 		// later.
 		delayShare float64
-		rnd        *rand.Rand
+		// delaySurvives means that a delayed command is executed by the next incarnation of its runner, if
+		// the one that it was sent to has ended.
+		delaySurvives bool
+		rnd           *rand.Rand
 		// paused holds the machines whose process is paused, and armed what pauses the process on a
 		// machine when it is about to send a call to a path.
 		paused map[string]*processPause
@@ -192,6 +195,20 @@
 	return fa.rnd.Float64() < fa.loseShare
 }
 
+// LetDelayedCommandsSurvive makes commands that are delayed from now on outlive the incarnation of their
+// runner.
+func (cl *Cluster) LetDelayedCommandsSurvive() {
+	cl.faults.mu.Lock()
+	defer cl.faults.mu.Unlock()
+	cl.faults.delaySurvives = true
+}
+
+func (fa *faults) commandsSurvive() bool {
+	fa.mu.Lock()
+	defer fa.mu.Unlock()
+	return fa.delaySurvives
+}
+
 // delaysCommand reports whether the current command is delayed, and by how long.
 func (fa *faults) delaysCommand() (bool, time.Duration) {
 	fa.mu.Lock()
@@ -257,9 +274,10 @@
 	delayed, delay := tr.cluster.faults.delaysCommand()
 	if delayed && rq.URL.Path != "/v1/hold" {
 		later, born := rq.Clone(context.WithValue(context.Background(), inGap{}, true)), ru.incarnation()
+		survives := tr.cluster.faults.commandsSurvive()
 		time.AfterFunc(delay, func() {
-			// A delayed command is lost if the incarnation that it was sent to has ended.
-			if ru.incarnation() == born {
+			// A delayed command is lost if the incarnation that it was sent to has ended, unless it survives.
+			if present := ru.incarnation(); present == born || survives && present != 0 {
 				if rs, err := deliver(later, body, ru); err == nil {
 					_ = rs.Body.Close() // the caller does not wait for the response
 				}
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -175,6 +175,9 @@
 	now := te.Clock.Now()
 	pl.inFlight = false
 	pl.retryAt = now + commandRetryPause
+	if !eris.Is(err, fleet.ErrNoAnswer) {
+		pl.startUncertain = before.startUncertain
+	}
 	te.log.Info().Str("task", co.Task).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Int("try", pl.tries).
 		Bool("resumed", co.Checkpoint != "").Int64("queuedMillis", int64(sent-submitted)).Int64("tookMillis", int64(now-sent)).AnErr("refusal", err).Msg("startSent")
 	te.Metrics.Observe("start", now-sent)
@@ -284,7 +287,6 @@
 	}
 	if err == nil {
 		pl.stoppedAt = now
-		pl.startUncertain = false
 		return
 	}
 	if eris.Is(err, fleet.ErrNoAnswer) {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -22,6 +22,8 @@
 	// firstPollPause and maxPollPause bound the pause after a failed poll.
 	firstPollPause = 100 * clock.Millis(1)
 	maxPollPause   = 1000 * clock.Millis(1)
+	// settlingWait is how long a worker may wait while a run is being stopped of which no end will come.
+	settlingWait = 150 * clock.Millis(1)
 	// renewalsPerLease is the number of renewals within the length of a lease.
 	renewalsPerLease = 4
 )
@@ -70,6 +72,8 @@
 		}
 	case wo.mixedLoad:
 		co.Wait = min(throttleInterval, te.pollWait())
+	case busy && now < wo.settlingUntil:
+		co.Wait = min(settlingWait, te.pollWait())
 	case busy:
 		co.Wait = te.pollWait()
 	case wo.recorded == wo.acknowledged:
@@ -208,14 +212,15 @@
 		ta.Checkpoint = ru.Checkpoint
 	}
 	if pl.startedAt == 0 || ta.Phase == workload.Starting {
+		if pl.tries == 1 && !pl.inherited {
+			pl.startUncertain = false // the only start that was sent has been executed
+		}
 		confirmStart(en, pl, ta, now)
 	}
-	pl.startUncertain = false
 }
 
 // confirmStart records that a worker has started a run.
 func confirmStart(en *entry, pl *placement, ta *workload.Task, now clock.Millis) {
-	pl.startUncertain = false
 	pl.startedAt = now
 	if ta.Phase != workload.Starting {
 		return
@@ -248,7 +253,8 @@
 		switch verdict {
 		case assessor.Unsettled:
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Msg("runMissing")
-			found, pl.startUncertain = true, true
+			found = true
+			wo.settlingUntil = te.Clock.Now() + te.op.StopGrace
 			te.stopTask(key)
 		case assessor.Stopped:
 			found = true
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -60,6 +60,9 @@
 		leaseEnd clock.Millis
 		// polledAt is when the last successful poll was sent.
 		polledAt clock.Millis
+		// settlingUntil is the end of the time for which polls are short, because a run has to be stopped of
+		// which the worker lists no end.
+		settlingUntil clock.Millis
 		// identifiedAt is when the incarnation told last answered a poll.
 		identifiedAt clock.Millis
 
@@ -114,7 +117,9 @@
 		inFlight bool
 		// retryAt is the earliest time of the next start or stop command.
 		retryAt clock.Millis
-		// tries counts the start commands that were sent.
+		// inherited means that a former leader may have sent start commands.
+		inherited bool
+		// tries counts the start commands that this leader has sent.
 		tries int
 		// resumed means that the run continues from a checkpoint.
 		resumed bool
@@ -123,7 +128,9 @@
 		// sentAt is when this leader sent the first start command, or read the run from the store; 0 means
 		// not yet.
 		sentAt clock.Millis
-		// startUncertain means that a start command without an answer may still be executed.
+		// startUncertain means that a start command without an answer may still be executed: one of a former
+		// leader, or one of this leader other than that which has certainly been executed. It stays so when
+		// the run is confirmed or stopped, because the worker's next incarnation knows nothing of that.
 		startUncertain bool
 		// startedAt is when the worker confirmed the run; 0 means not yet.
 		startedAt clock.Millis
@@ -156,7 +163,7 @@
 
 // expectRun adds a run that the job rows place on the worker.
 func (wo *worker) expectRun(key workload.TaskKey, ta *workload.Task) {
-	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, sentAt: ta.PlacedAt, startUncertain: true, dueSince: ta.PlacedAt, speed: throttler.FullSpeed}
+	wo.runs[key] = &placement{run: ta.Run, incarnation: ta.Incarnation, recorded: true, startSent: true, inherited: true, sentAt: ta.PlacedAt, startUncertain: true, dueSince: ta.PlacedAt, speed: throttler.FullSpeed}
 }
 
 // estimatedClock estimates the reading of the worker's clock at a time of this instance's
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -175,3 +175,33 @@
 		})
 	}
 }
+
+// TestLateStart guards against a start without an answer that the next incarnation of the worker executes,
+// after a repeated one was confirmed and the task was started again elsewhere (TWICE).
+func TestLateStart(t *testing.T) {
+	for name, disturb := range map[string]func(ha *harness){
+		"under one leader":   func(*harness) {},
+		"under a new leader": func(ha *harness) { ha.kill(ha.leader()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, 2, func(ha *harness) {
+				ha.sleep(settledTime)
+				ha.cluster.LetDelayedCommandsSurvive()
+				ha.cluster.DelayCommands(1)
+				jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
+				ha.sleep(100 * time.Millisecond)
+				ha.cluster.DelayCommands(0)
+				ha.sleep(time.Second)
+				at := ha.cluster.RunnersOf(jo.ID)[0]
+				disturb(ha)
+				ha.sleep(300 * time.Millisecond)
+				ha.cluster.SetRunnerFaults(at, false, true) // the task is started elsewhere
+				ha.cluster.Crash(at, 50*time.Millisecond)
+				ha.sleep(500 * time.Millisecond)
+				ha.cluster.SetRunnerFaults(at, false, false)
+				ha.sleep(15 * time.Second) // the late start arrives
+				ha.awaitState(ha.leader(), jo, "completed", 10*time.Second)
+			})
+		})
+	}
+}
