Tell the next leader the ended runs that could not be recorded

Cause: a leader that cannot record an end does not acknowledge it, so that the worker keeps it; but a worker that leaves takes it along. The leader that knew it had lost its leadership by then, and nobody asked it. Change: the answer with which a former leader tells the end of its term also holds up to 300 ended runs that no row holds (endsTakenOver). The next leader applies them as if the worker had listed them. leadershipAcquired and leaderTermEnded log how many former leaders are left and how many ends are unrecorded. Why it works: the evidence is the worker's own, and an end that comes twice changes nothing.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -174,6 +174,13 @@
 		TailLatency clock.Millis
 	}
 
+	// EndedRun is a completed run that a leader has learned of from its worker.
+	EndedRun struct {
+		Worker     identifier.Worker
+		Task       workload.TaskKey
+		Completion workload.Completion
+	}
+
 	// CompletedRun is a completed run that has not been acknowledged yet.
 	CompletedRun struct {
 		Number     meter.CompletionNumber
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -245,6 +245,16 @@
 	return [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}[ou]
 }
 
+// ParseOutcome parses the name of an outcome.
+func ParseOutcome(name string) (RunOutcome, bool) {
+	for ou := OutcomeDone; ou <= OutcomeWorkerLost; ou++ {
+		if ou.String() == name {
+			return ou, true
+		}
+	}
+	return 0, false
+}
+
 // String returns the name by which workers know the task.
 func (tk TaskKey) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", tk.Job, tk.Occurrence, tk.Step, tk.Index)
--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -7,6 +7,24 @@
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
+// EndedRun An ended run that a former leader has learned of from its worker.
+type EndedRun struct {
+	// How How the run ended.
+	How string `json:"how"`
+
+	// Run Run number.
+	Run int64 `json:"run"`
+
+	// Checkpoint Last checkpoint; empty means none.
+	Checkpoint string `json:"saved,omitempty"`
+
+	// Task Name of the task.
+	Task string `json:"task"`
+
+	// Worker Identifies a worker.
+	Worker externalRef0.WorkerID `json:"worker"`
+}
+
 // Heartbeat Sent periodically by each instance to the other instances of its availability zone.
 type Heartbeat struct {
 	// Draining Targets that the sender knows to be draining.
@@ -45,6 +63,9 @@
 	// EndedFence Fencing token of the last term of the answering process that has ended; 0 means none.
 	EndedFence externalRef0.LeaseEpoch `json:"endedFence,omitempty"`
 
+	// Ends Ended runs that this term may not have recorded.
+	Ends []EndedRun `json:"ends,omitempty"`
+
 	// Incarnation Incarnation of the answering process.
 	Incarnation string `json:"incarnation,omitempty"`
 
@@ -67,6 +88,9 @@
 
 // Ping Asks whether the process is running.
 type Ping struct {
+	// Ends Also asks for the ended runs that the last term of the process knew and may not have recorded.
+	Ends bool `json:"ends,omitempty"`
+
 	// Instance Identifies an instance.
 	Instance externalRef0.InstanceID `json:"instance"`
 }
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -185,6 +185,7 @@
 	te.mu.Lock()
 	defer te.mu.Unlock()
 	te.markCompletionsRecorded(ba)
+	te.pruneEnds()
 	return true
 }
 
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -55,8 +55,8 @@
 		// there is one; it does not wait.
 		OfferTransfer(ctx context.Context, fence meter.LeaseEpoch, endsAtRenewal int64) bool
 		// TermEnded reports whether a leader's term has certainly ended, so that no command of it leaves
-		// any more.
-		TermEnded(ctx context.Context, leader ledger.FormerLeader) bool
+		// any more. It then returns the ended runs that this leader knew and may not have recorded.
+		TermEnded(ctx context.Context, leader ledger.FormerLeader) ([]fleet.EndedRun, bool)
 	}
 
 	// Advisers tells which workers may run the steps of the queues that use the advice service.
@@ -148,6 +148,9 @@
 		term atomic.Pointer[term]
 		// endedFence is the fencing token of the last term of this process that has ended.
 		endedFence atomic.Int64
+		// unrecordedEnds are the ended runs that this term knew and may not have recorded; it is never
+		// changed after it is stored.
+		unrecordedEnds atomic.Pointer[[]fleet.EndedRun]
 		// candidate takes part in the election; it is nil while this instance is the leader.
 		candidate atomic.Pointer[elector.Elector]
 	}
@@ -181,6 +184,14 @@
 // EndedFence returns the fencing token of the last term of this process that has ended; 0 means none.
 func (co *Controller) EndedFence() meter.LeaseEpoch { return meter.LeaseEpoch(co.endedFence.Load()) }
 
+// UnrecordedEnds returns the ended runs that the last term of this process knew and may not have recorded.
+func (co *Controller) UnrecordedEnds() []fleet.EndedRun {
+	if ends := co.unrecordedEnds.Load(); ends != nil {
+		return *ends
+	}
+	return nil
+}
+
 // AcceptTransfer makes this instance acquire the leadership from a leader that requests a
 // transfer, unless this instance is the leader itself.
 func (co *Controller) AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64) {
@@ -219,6 +230,8 @@
 		co.term.Store(te)
 		co.reportLeadership(true)
 		te.run(ctx)
+		ends := te.endsToHandOver()
+		co.unrecordedEnds.Store(&ends)
 		co.endedFence.Store(int64(te.fence))
 		co.reportLeadership(false)
 		co.term.Store(nil)
--- a/wagtailcroftd/controller/jobs.go
+++ b/wagtailcroftd/controller/jobs.go
@@ -18,6 +18,7 @@
 	te.mu.Lock()
 	te.loaded = true
 	te.recoveredRows = nil
+	te.applyHandover()
 	te.passedAt = 0
 	notify(te.dispatchTrigger)
 	te.mu.Unlock()
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
@@ -48,7 +49,9 @@
 
 func (quietPeers) AwaitExit(ctx context.Context, _ string) bool { <-ctx.Done(); return false }
 
-func (quietPeers) TermEnded(context.Context, ledger.FormerLeader) bool { return false }
+func (quietPeers) TermEnded(context.Context, ledger.FormerLeader) ([]fleet.EndedRun, bool) {
+	return nil, false
+}
 
 func (quietPeers) Ping(context.Context, string) bool { return true }
 
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -180,6 +180,7 @@
 			te.completeRun(wo, cr.Task, cr.Completion)
 			if en := te.jobs[cr.Task.Job]; en != nil && en.dirty {
 				en.noteUnrecorded(wo, completionID{incarnation: wo.told, number: cr.Number})
+				te.noteEnd(wo, cr.Task, cr.Completion)
 			}
 		}
 	}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -102,6 +103,9 @@
 		outages []*silence
 		// crashes holds the silences that were proven to be crashes and are not judged yet.
 		crashes []*silence
+		// ends holds the ended runs that may not be recorded yet, and handedOver those that former leaders
+		// knew until they are applied.
+		ends, handedOver []fleet.EndedRun
 		// loaded means that all submissions have been read.
 		loaded bool
 		// confirmedAt is when the last successful commit under the fencing token was sent.
@@ -224,7 +228,11 @@
 		te.mu.Lock()
 		formers := te.formers
 		te.mu.Unlock()
-		left := slices.DeleteFunc(slices.Clone(formers), func(fo ledger.FormerLeader) bool { return te.Peers.TermEnded(te.ctx, fo) })
+		left := slices.DeleteFunc(slices.Clone(formers), func(fo ledger.FormerLeader) bool {
+			ends, ended := te.Peers.TermEnded(te.ctx, fo)
+			te.takeOver(ends)
+			return ended
+		})
 		now := te.Clock.Now()
 		te.mu.Lock()
 		if now >= te.formerEndsBy {
@@ -253,7 +261,7 @@
 	te.cancel()
 	te.commands.Close()
 	te.polls.Close()
-	te.log.Info().Bool("lost", te.lost.Load()).Int64("heldMillis", int64(te.Clock.Now()-te.startedAt)).Msg("leaderTermEnded")
+	te.log.Info().Bool("lost", te.lost.Load()).Int("unrecordedEnds", len(te.endsToHandOver())).Int64("heldMillis", int64(te.Clock.Now()-te.startedAt)).Msg("leaderTermEnded")
 }
 
 // loadJobRows reads the rows of the jobs. No other instance changes them any more, because
--- a/wagtailcroftd/elector/elector.go
+++ b/wagtailcroftd/elector/elector.go
@@ -287,7 +287,7 @@
 	}
 	el.metrics.Count("takeovers", reason)
 	el.log.Info().Str("why", reason).Str("former", string(previous)).Int64("fence", int64(next.Fence)).
-		Int64("unchangedMillis", int64(el.unchangedFor())).Msg("leadershipAcquired")
+		Int("formers", len(next.Formers)).Int64("unchangedMillis", int64(el.unchangedFor())).Msg("leadershipAcquired")
 	el.setRow(&next, version)
 	return true
 }
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/peer"
@@ -72,6 +73,8 @@
 		AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64)
 		// EndedFence returns the fencing token of the last term of this process that has ended.
 		EndedFence() meter.LeaseEpoch
+		// UnrecordedEnds returns ended runs that this term knew and may not have recorded.
+		UnrecordedEnds() []fleet.EndedRun
 	}
 
 	// Options are the settings and dependencies of a messenger.
@@ -194,29 +197,33 @@
 
 // Ping reports whether the process at an address answers a ping.
 func (me *Messenger) Ping(ctx context.Context, address string) bool {
-	_, err := me.ping(ctx, address)
+	_, err := me.ping(ctx, address, false)
 	return err == nil
 }
 
 // TermEnded reports whether a leader's term has certainly ended: its process says so, or has been
-// replaced by another one. A refused connection proves nothing, because a partition may refuse it too.
-func (me *Messenger) TermEnded(ctx context.Context, leader ledger.FormerLeader) bool {
-	reply, err := me.ping(ctx, leader.Address)
+// replaced by another one. A refused connection proves nothing, because a partition may refuse it too. It
+// also returns the ended runs that the process knows and may not have recorded.
+func (me *Messenger) TermEnded(ctx context.Context, leader ledger.FormerLeader) ([]fleet.EndedRun, bool) {
+	reply, err := me.ping(ctx, leader.Address, true)
 	if err != nil {
-		return false
+		return nil, false
 	}
 	replaced := reply.Incarnation != "" && reply.Incarnation != leader.Incarnation
-	return replaced || reply.EndedFence >= leader.Fence
+	if !replaced && reply.EndedFence < leader.Fence {
+		return nil, false
+	}
+	return decodeEnds(reply.Ends), true
 }
 
 // ping opens a new connection, because an existing one may be dead without having been closed.
-func (me *Messenger) ping(ctx context.Context, address string) (peer.InstanceReply, error) {
+func (me *Messenger) ping(ctx context.Context, address string, ends bool) (peer.InstanceReply, error) {
 	ctx, cancel := me.Clock.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	di := dialer.New(me.Clock, pingTimeout, me.Dial)
 	defer di.Close()
 	var reply peer.InstanceReply
-	err := di.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance}, &reply)
+	err := di.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance, Ends: ends}, &reply)
 	return reply, err
 }
 
@@ -267,8 +274,11 @@
 }
 
 // Ping answers that this process is running, and which of its terms has ended.
-func (se *Service) Ping(_ peer.Ping, reply *peer.InstanceReply) error {
+func (se *Service) Ping(args peer.Ping, reply *peer.InstanceReply) error {
 	*reply = peer.InstanceReply{Instance: se.me.Instance, Incarnation: se.me.Incarnation, EndedFence: se.candidate.EndedFence()}
+	if args.Ends {
+		reply.Ends = encodeEnds(se.candidate.UnrecordedEnds())
+	}
 	return nil
 }
 
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -205,3 +205,25 @@
 		})
 	}
 }
+
+// TestHandover guards against work that is done again, or waited for, because its worker has left and only a
+// former leader, which could not record it, knew that it was done (LOST).
+func TestHandover(t *testing.T) {
+	t.Run("a new leader learns of the ended runs that the former one could not record", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			ha.sleep(settledTime)
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(3), tasks(1, 8)))
+			ha.sleep(2850 * time.Millisecond)
+			at, former := ha.cluster.RunnersOf(jo.ID)[0], ha.leader()
+			ha.cluster.StoreOutage(ha.instances[former].name, fleet.Reset)
+			ha.sleep(300 * time.Millisecond)
+			asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 0)
+			ha.cluster.Crash(at, 0)
+			ha.sleep(1500 * time.Millisecond)
+			asserter.Equal(t, ha.leader() != former, true)
+			ha.cluster.StoreOutage(ha.instances[former].name, fleet.NoOutage)
+			ha.awaitState(ha.leader(), jo, "completed", 2*time.Second)
+			asserter.Equal(t, ha.cluster.StartCount(), 1)
+		})
+	})
+}
