Log what proves that a run is over

Cause: the record of the users' own runs shows two runs of one task by one leader, the first without a stop. Its logs name the outcome of a run but not the evidence, so that a lapsed lease, a restarted worker and a refused start can't be told apart where lines are missing. Change: runEnded logs the proof, the incarnation on which the run was placed, the one that the worker told last, and the time since its last answer. workerReplaced is logged once, no longer with each answer of the successor.

--- a/decisions/assessor/assessor.go
+++ b/decisions/assessor/assessor.go
@@ -21,6 +21,25 @@
 	// Lost means that the run is over because the incarnation that executed it has ended.
 	Lost
 
+	// Proofs that a run is over, as they are logged.
+
+	// Listed means that the worker has listed the run's end.
+	Listed Proof = "listed"
+	// ToldByLeader means that a former leader has told the end, which the worker had listed.
+	ToldByLeader Proof = "toldByLeader"
+	// StartNotSent means that no start was ever sent.
+	StartNotSent Proof = "startNotSent"
+	// StartRefused means that the worker has refused the only start.
+	StartRefused Proof = "startRefused"
+	// StopAccepted means that the worker has accepted a stop and a later complete answer lacks the run.
+	StopAccepted Proof = "stopAccepted"
+	// WorkerRestarted means that the worker itself has told another incarnation.
+	WorkerRestarted Proof = "workerRestarted"
+	// SuccessorAnswered means that another worker has answered at the address.
+	SuccessorAnswered Proof = "successorAnswered"
+	// LeasesExpired means that all leases have certainly expired.
+	LeasesExpired Proof = "leasesExpired"
+
 	// maxClockDrift is the maximum amount, in thousandths, by which the clock of a worker runs slow: 2%
 	// by the specification of the platform, and 1% for the leader's own clock.
 	maxClockDrift = 30
@@ -30,6 +49,9 @@
 	// Verdict is what is known of a run.
 	Verdict int
 
+	// Proof is what proves that a run is over.
+	Proof string
+
 	// Run is what a leader knows of a run from its own commands and from the store.
 	Run struct {
 		// Incarnation is the incarnation of the worker on which the run was placed.
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -113,7 +114,7 @@
 	if pl.startSent {
 		te.stopTask(key)
 	} else {
-		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartNotSent)
 	}
 	te.trigger()
 }
@@ -211,10 +212,10 @@
 		// The next attempt carries a later lease expiry.
 	case !before.startSent && eris.Is(err, fleet.ErrInvalidTicket):
 		te.advice.Drop(adviceKey(key))
-		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartRefused)
 	case !before.startSent && (eris.Is(err, fleet.ErrNoCapacity) || eris.Is(err, fleet.ErrUnhealthy) || eris.Is(err, fleet.ErrRejected)):
 		te.blockWorker(wo, err)
-		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartRefused)
 	default:
 		te.blockWorker(wo, err)
 		te.stopTask(key)
@@ -319,9 +320,10 @@
 // applySuccessor applies the answer of another worker at the address of a worker: the runs of the
 // incarnation that was reported there are over.
 func (te *term) applySuccessor(wo *worker, to fleet.Target, now clock.Millis) {
+	known := !wo.contacted && len(wo.runs) == 0
 	wo.contacted = false
 	wo.pollAfter = now + maxPollPause
-	if to.Address != wo.report.Address {
+	if to.Address != wo.report.Address || known {
 		return
 	}
 	te.log.Warn().Str("worker", string(wo.id)).Str("address", to.Address).Int64("life", int64(wo.report.Incarnation)).Int("runs", len(wo.runs)).Msg("workerReplaced")
@@ -329,7 +331,7 @@
 	wo.applied, wo.recorded, wo.acknowledged = 0, 0, 0
 	for key, pl := range wo.runs {
 		if pl.evidence().FromSuccessor(wo.report.Incarnation).Over() {
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost})
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost}, assessor.SuccessorAnswered)
 		}
 	}
 	te.trigger()
--- a/wagtailcroftd/controller/dispatch.go
+++ b/wagtailcroftd/controller/dispatch.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 )
@@ -90,7 +91,7 @@
 	switch {
 	case ta.Phase == workload.Stopping && pl.stoppedAt == 0:
 		if !pl.startSent {
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartNotSent)
 			return
 		}
 		te.submitStop(wo, key, pl)
@@ -100,7 +101,7 @@
 		te.trigger()
 	case ta.Phase == workload.Starting && wo.report.Draining:
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker is draining").Msg("startSkipped")
-		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartNotSent)
 		te.trigger()
 	case te.mayStart(wo, pl, ta, now):
 		if pl.tries > 0 && now-pl.dueSince > te.startTimeout() {
--- a/wagtailcroftd/controller/handover.go
+++ b/wagtailcroftd/controller/handover.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 )
@@ -53,7 +54,7 @@
 	te.log.Info().Int("ends", len(ends)).Msg("endsTakenOver")
 	for _, end := range ends {
 		wo := te.ensureWorker(end.Worker)
-		te.completeRun(wo, end.Task, end.Completion)
+		te.completeRun(wo, end.Task, end.Completion, assessor.ToldByLeader)
 		if en := te.jobs[end.Task.Job]; en != nil && en.dirty {
 			te.noteEnd(wo, end.Task, end.Completion)
 		}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -177,7 +177,7 @@
 	for _, cr := range st.Completed {
 		if cr.Number > wo.applied {
 			wo.applied = cr.Number
-			te.completeRun(wo, cr.Task, cr.Completion)
+			te.completeRun(wo, cr.Task, cr.Completion, assessor.Listed)
 			if en := te.jobs[cr.Task.Job]; en != nil && en.dirty {
 				en.noteUnrecorded(wo, completionID{incarnation: wo.told, number: cr.Number})
 				te.noteEnd(wo, cr.Task, cr.Completion)
@@ -259,10 +259,10 @@
 			te.stopTask(key)
 		case assessor.Stopped:
 			found = true
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped})
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StopAccepted)
 		case assessor.Lost:
 			found = true
-			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost})
+			te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeWorkerLost}, assessor.WorkerRestarted)
 		}
 	}
 	return found
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
@@ -100,7 +101,7 @@
 			te.log.Warn().Str("worker", string(wo.id)).Int("runs", len(wo.runs)).Bool("met", wo.answered).
 				Int64("silentMillis", int64(now-wo.clockAt)).Msg("leasesExpired")
 			for key, pl := range wo.runs {
-				te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeLeaseExpired})
+				te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeLeaseExpired}, assessor.LeasesExpired)
 			}
 		}
 		if !wo.listed && len(wo.runs)+len(wo.orphans) == 0 && wo.applied == wo.acknowledged && !wo.polling {
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -288,8 +288,9 @@
 	}
 }
 
-// completeRun applies the completion of a run to its job and to the state of the worker.
-func (te *term) completeRun(wo *worker, key workload.TaskKey, co workload.Completion) {
+// completeRun applies the completion of a run to its job and to the state of the worker. proof is what
+// proves it.
+func (te *term) completeRun(wo *worker, key workload.TaskKey, co workload.Completion, proof assessor.Proof) {
 	delete(wo.orphans, key)
 	pl := wo.runs[key]
 	if pl != nil && pl.run <= co.Run {
@@ -321,7 +322,8 @@
 	if step := en.job.StepOf(st); co.Outcome == workload.OutcomeDone && pl != nil && pl.startedAt > 0 && !pl.resumed && !step.LongRunning {
 		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.Clock.Now()-pl.startedAt)
 	}
-	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("how", co.Outcome.String()).
+	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("how", co.Outcome.String()).Str("proof", string(proof)).
+		Int64("life", int64(ta.Incarnation)).Int64("told", int64(wo.told)).Int64("silentMillis", int64(te.Clock.Now()-wo.clockAt)).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Int("failures", max(ta.Failures, st.Failures)).Msg("runEnded")
 	if state != en.job.State {
 		te.Metrics.Count("jobs", en.job.State.String())
