Count maintenance of a machine that two waves share for the wave whose command was answered

What callers saw: of two waves of maintenance that share a machine, the second was said to be completed without its own maintenance of it (MIXED, rig waves of the review). Cause: a machine in maintenance counted as accepted for each wave that had begun it. Evidence: the second wave's command is refused as busy, and no other follows before the wave is completed. Change: if another open wave has begun the machine too, only an answer to the wave's own command counts; it is sent again once the machine is back.

--- a/standin/fleet/services.go
+++ b/standin/fleet/services.go
@@ -50,8 +50,10 @@
 		// maintenances counts the maintenances of each machine, down is the number of
 		// machines currently down for maintenance, and maxDown the highest value of down.
 		maintenances map[string]int
-		down         int
-		maxDown      int
+		// waves holds the machines that each wave has taken down.
+		waves   map[int64]map[string]bool
+		down    int
+		maxDown int
 	}
 )
 
@@ -126,15 +128,24 @@
 	default:
 		ma.fences[mu.Machine] = fence
 	}
+	if ma.waves[mu.Wave][mu.Machine] {
+		wr.WriteHeader(http.StatusOK)
+		return
+	}
+	if !ma.cluster.runners[at].up {
+		reply(wr, http.StatusConflict, wire.MachineReply{Reason: "busy"})
+		return
+	}
+	if ma.waves[mu.Wave] == nil {
+		ma.waves[mu.Wave] = map[string]bool{}
+	}
+	ma.waves[mu.Wave][mu.Machine] = true
 	ma.startMaintenance(ma.cluster.runners[at], mu.Machine)
 	wr.WriteHeader(http.StatusOK)
 }
 
-// startMaintenance takes a machine down for maintenance, but only once.
+// startMaintenance takes a machine down for maintenance.
 func (ma *machines) startMaintenance(ru *Runner, machine string) {
-	if ma.maintenances[machine] > 0 || !ru.up {
-		return
-	}
 	ma.maintenances[machine]++
 	ma.down++
 	ma.maxDown = max(ma.maxDown, ma.down)
@@ -160,6 +171,13 @@
 	return total, cl.machines.maxDown
 }
 
+// WaveMaintenances returns how many machines a wave has taken down.
+func (cl *Cluster) WaveMaintenances(number int64) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return len(cl.machines.waves[number])
+}
+
 // RequestWave writes the operator's request for a maintenance wave of the first count
 // machines, of which at most maxDown may be down at the same time.
 func (cl *Cluster) RequestWave(number int64, count, maxDown int) {
--- a/wagtailcroftd/maintainer/maintainer.go
+++ b/wagtailcroftd/maintainer/maintainer.go
@@ -90,6 +90,9 @@
 		// begun holds the machines whose maintenance is recorded as begun, accepted those of
 		// which it is known that it took place. Only the latter can be finished.
 		begun, accepted map[identifier.Machine]bool
+		// begunByOthers reports whether another open wave has begun the maintenance of a machine too, so
+		// that its being in maintenance does not tell for which wave it is.
+		begunByOthers func(id identifier.Machine) bool
 	}
 )
 
@@ -155,7 +158,14 @@
 	for _, ma := range machines {
 		listed[ma.ID] = ma
 	}
+	begunBy := map[identifier.Machine]int{}
 	for _, wa := range open {
+		for id := range wa.begun {
+			begunBy[id]++
+		}
+	}
+	for _, wa := range open {
+		wa.begunByOthers = func(id identifier.Machine) bool { return begunBy[id] > 1 }
 		if !commands {
 			mt.drainBegun(wa, listed)
 			continue
@@ -204,7 +214,7 @@
 	var next []fleet.Machine
 	for _, id := range wa.request.Machines {
 		ma, exists := listed[id]
-		if wa.begun[id] && ma.InMaintenance {
+		if wa.begun[id] && ma.InMaintenance && !wa.begunByOthers(id) {
 			wa.accepted[id] = true
 		}
 		switch {
--- a/wagtailcroftd/participant/services_test.go
+++ b/wagtailcroftd/participant/services_test.go
@@ -100,6 +100,20 @@
 			ha.awaitState(0, jo, "completed", time.Second)
 		})
 	})
+	// Guards against a wave that is said to be completed although another one had the machine maintained
+	// (MIXED).
+	t.Run("two waves that share machines maintain each of them twice", func(t *testing.T) {
+		runScenario(t, 3, 6, func(ha *harness) {
+			ha.cluster.RequestWave(1, 3, 3)
+			ha.cluster.RequestWave(2, 3, 3)
+			ha.sleep(40 * time.Second)
+			for _, wave := range []string{"wave/1", "wave/2"} {
+				asserter.Equal(t, string(ha.cluster.Store.Get("status", wave)), `{"state":"completed"}`)
+			}
+			asserter.Equal(t, ha.cluster.WaveMaintenances(1), 3)
+			asserter.Equal(t, ha.cluster.WaveMaintenances(2), 3)
+		})
+	})
 	t.Run("a new leader continues a maintenance wave", func(t *testing.T) {
 		runScenario(t, 3, 6, func(ha *harness) {
 			ha.cluster.RequestWave(1, 6, 1)
