Judge by when workers may have gone silent whether a crash belongs to an outage

Callers saw: a job shown as failed because its workers crashed twice, in outages that took five workers each (LOST). Cause: workers share an outage if they are found silent within 1 s of each other. A busy worker is found silent when its connection ends, an idle one only by its next poll or its next entry, up to 2.7 s later or more, so that crashes of busy workers beside idle ones looked like crashes of their own. Change: a silence keeps the time between which and its discovery it began (the last answer or entry); two silences share an outage if they may have begun within 1 s. A crash is judged once the polls in progress have ended (3.7 s), and each worker counts once. Why it works: what is compared no longer depends on when a worker happens to be called.

--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -22,6 +22,11 @@
 	// many others must do so for a crash not to be held against the work.
 	outageSpread  = 1 * clock.Second
 	outageWorkers = 2
+	// outageNoticed is how long after a worker went silent all polled workers that share its outage are known
+	// to be silent: what a poll takes at most, and the spread.
+	outageNoticed = pollWait + pollSlack + outageSpread
+	// promptFailure is the time within which a call to a process that had ended before fails.
+	promptFailure = 100 * clock.Millis(1)
 )
 
 type (
@@ -30,8 +35,9 @@
 	silence struct {
 		worker      identifier.Worker
 		incarnation workload.Incarnation
-		// since is when the worker was first found silent.
-		since clock.Millis
+		// after and since enclose the moment at which the worker went silent: it was alive at after, and was
+		// found silent at since. They are equal if its connection ended while a call was in progress.
+		after, since clock.Millis
 		// timedOut means that a call was not answered in time, as in a partition. A process that ends
 		// closes its connections.
 		timedOut bool
@@ -48,14 +54,13 @@
 	}
 )
 
-// noteSilence records what runs on a worker that has stopped answering and was last known to be alive at a
-// time. A worker that is leaving is not
-// recorded, because it ends without a crash.
-func (te *term) noteSilence(wo *worker, timedOut bool, aliveAt, now clock.Millis) {
+// noteSilence records what runs on a worker that has stopped answering after a time, and was last known to
+// be alive at a time. A worker that is leaving is not recorded, because it ends without a crash.
+func (te *term) noteSilence(wo *worker, timedOut bool, aliveAt, after, now clock.Millis) {
 	if wo.report.Draining || wo.inMaintenance || wo.report.Address == "" {
 		return
 	}
-	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, since: now, timedOut: timedOut}
+	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, after: min(after, now), since: now, timedOut: timedOut}
 	newest := 0
 	for key, pl := range wo.runs {
 		if !pl.startSent || aliveAt-pl.sentAt > youngRun {
@@ -74,17 +79,17 @@
 	te.outages = append(te.outages, si)
 }
 
-// inOutage reports whether other workers, on which a job has no suspects, went silent at about the same
-// time, so that the job is not the cause.
+// inOutage reports whether other workers, on which a job has no suspects, may have gone silent at about the
+// same time, so that the job is not the cause. A worker that nobody calls is found silent long after.
 func (te *term) inOutage(si *silence, job identifier.Job) bool {
-	others := 0
+	others := map[identifier.Worker]bool{}
 	for _, other := range te.outages {
-		apart := max(other.since-si.since, si.since-other.since)
+		apart := max(other.after-si.since, si.after-other.since)
 		if other.worker != si.worker && apart <= outageSpread && !slices.ContainsFunc(other.suspects, func(su suspect) bool { return su.key.Job == job }) {
-			others++
+			others[other.worker] = true
 		}
 	}
-	return others >= outageWorkers
+	return len(others) >= outageWorkers
 }
 
 // pruneSilences forgets silences that prove nothing any more, except those that have yet to be judged.
@@ -132,7 +137,7 @@
 // silent.
 func (te *term) judgeCrashes(now clock.Millis) {
 	te.crashes = slices.DeleteFunc(te.crashes, func(si *silence) bool {
-		if now-si.since <= outageSpread {
+		if now-si.since <= outageNoticed {
 			return false
 		}
 		for _, su := range si.suspects {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if err != nil {
-		te.pollFailed(wo, to, err, now-sent >= co.Wait+pollSlack, now)
+		te.pollFailed(wo, to, err, now-sent >= co.Wait+pollSlack, now-sent < promptFailure, now)
 		te.trigger()
 		return
 	}
@@ -146,15 +146,19 @@
 	te.dispatchTo(wo, now)
 }
 
-func (te *term) pollFailed(wo *worker, to fleet.Target, err error, timedOut bool, now clock.Millis) {
+// pollFailed notes that a poll got no answer in time, or that it failed promptly or later.
+func (te *term) pollFailed(wo *worker, to fleet.Target, err error, timedOut, promptly bool, now clock.Millis) {
 	wo.failures++
 	wo.pollAfter = now + min(firstPollPause<<min(wo.failures, 5), maxPollPause)
 	if wo.failures == 1 {
-		aliveAt := now // a process that ends closes its connections, so that this is noticed at once
+		aliveAt, after := now, now // a process that ends closes its connections, so that this is noticed at once
 		if timedOut {
 			aliveAt = wo.clockAt
 		}
-		te.noteSilence(wo, timedOut, aliveAt, now)
+		if timedOut || promptly {
+			after = wo.lastSign()
+		}
+		te.noteSilence(wo, timedOut, aliveAt, after, now)
 		te.log.Warn().Str("worker", string(wo.id)).Err(err).Int("runs", len(wo.runs)).Msg("workerUnreachable")
 	}
 	if eris.Is(err, fleet.ErrNoAnswer) {
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -43,6 +43,8 @@
 		report fleet.Report
 		// listed means that the platform currently lists the worker.
 		listed bool
+		// reportedAt is when this leader last read an entry of the incarnation in the report.
+		reportedAt clock.Millis
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
 
@@ -170,6 +172,9 @@
 // clock.
 func (wo *worker) estimatedClock(at clock.Millis) clock.Millis { return wo.clock + at - wo.clockAt }
 
+// lastSign returns when the worker last gave a sign of life: an answer or an entry.
+func (wo *worker) lastSign() clock.Millis { return max(wo.clockAt, wo.reportedAt) }
+
 // lease returns what this leader knows of the leases of a worker's runs.
 func (te *term) lease(wo *worker) assessor.Lease {
 	return assessor.Lease{
@@ -235,9 +240,9 @@
 		return
 	}
 	if wo.contacted && re.Incarnation != before.Incarnation && te.silences[before.Address] == nil {
-		te.noteSilence(wo, false, wo.clockAt, now) // it may have restarted before its silence was noticed
+		te.noteSilence(wo, false, wo.clockAt, wo.lastSign(), now) // it may have restarted before its silence was noticed
 	}
-	wo.report = re
+	wo.report, wo.reportedAt = re, now
 	if re.Draining {
 		wo.leavesAt = now + re.Remaining
 	}
@@ -264,7 +269,7 @@
 	if wo.answered {
 		te.log.Info().Str("worker", string(wo.id)).Int64("life", int64(st.Incarnation)).Int("runs", len(wo.runs)).Msg("workerRestarted")
 		if te.silences[wo.report.Address] == nil {
-			te.noteSilence(wo, false, wo.clockAt, now) // it has restarted before its silence was noticed
+			te.noteSilence(wo, false, wo.clockAt, wo.lastSign(), now) // it has restarted before its silence was noticed
 		}
 		wo.contacted, wo.leaseEnd = false, 0
 		wo.applied, wo.recorded, wo.acknowledged = 0, 0, 0
--- a/wagtailcroftd/participant/deadly_test.go
+++ b/wagtailcroftd/participant/deadly_test.go
@@ -104,6 +104,21 @@
 			}
 		})
 	})
+	// Guards against an outage that is not recognized because idle workers, which nobody polls, are found to
+	// have gone silent later than busy ones (LOST).
+	t.Run("tasks whose workers crash together with idle ones are not given up", func(t *testing.T) {
+		runScenario(t, 3, 6, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
+			for range 4 {
+				ha.sleep(500 * time.Millisecond)
+				for at := range 6 {
+					ha.cluster.Crash(at, 2*time.Second)
+				}
+				ha.sleep(3 * time.Second)
+			}
+			ha.awaitState(0, jo, "completed", 60*time.Second)
+		})
+	})
 	t.Run("a task that has run for long when its workers crash is not given up", func(t *testing.T) {
 		runScenario(t, 3, 3, func(ha *harness) {
 			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -123,6 +123,13 @@
 		ha.instances = append(ha.instances, ha.startInstance(fmt.Sprintf("i-%d", i)))
 	}
 	defer ha.stopAll()
+	if tt, ok := t.(*testing.T); ok {
+		defer func() {
+			if tt.Failed() || os.Getenv("SCENE_LOG") == "all" {
+				_, _ = os.Stderr.WriteString(scenarioLog.String()) // for debugging
+			}
+		}()
+	}
 	ha.sleep(3 * time.Second)
 	fn(ha)
 	for _, violation := range ha.cluster.Violations() {
