Let a process renounce a term that it acquired without knowing it

Callers saw: a job whose next step was due had nothing running for over 10 s, because a new leader waited 12 s and a lease before it took the runs of workers that had left for over (LOST). Cause: an acquisition took effect without an answer and its repeat was answered 429. The process gave up and never began the term, so that it never told its end either; its successor could not take that term for over. Change: the question whether a term is over names its token. A process that has not begun that term promises never to begin it, under the mutex that also guards the beginning and the end of a term; a term that was renounced is dropped (leadershipRenounced). Why it works: the promise is the proof that the successor lacked; no wait was changed. Test: TestLostLeaders, "a process that does not know that it leads ends that term", failed before.

--- a/shared/gen/peer/peer.go
+++ b/shared/gen/peer/peer.go
@@ -60,7 +60,7 @@
 
 // InstanceReply The answer to a Ping or a LeadershipTransfer; names the answering instance.
 type InstanceReply struct {
-	// EndedFence Fencing token of the last term of the answering process that has ended; 0 means none.
+	// EndedFence Fencing token up to which all terms of the answering process have ended or will never begin; 0 means none.
 	EndedFence externalRef0.LeaseEpoch `json:"endedFence,omitempty"`
 
 	// Ends Ended runs that this term may not have recorded.
@@ -91,6 +91,9 @@
 	// Ends Also asks for the ended runs that the last term of the process knew and may not have recorded.
 	Ends bool `json:"ends,omitempty"`
 
+	// Fence Fencing token of a term of the process that the sender has replaced. If the process has not begun it, it never will. 0 means none.
+	Fence externalRef0.LeaseEpoch `json:"fence,omitempty"`
+
 	// Instance Identifies an instance.
 	Instance externalRef0.InstanceID `json:"instance"`
 }
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/locker"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
@@ -146,8 +147,11 @@
 		planner *planner.Planner
 		// term is nil while this instance is not the leader.
 		term atomic.Pointer[term]
-		// endedFence is the fencing token of the last term of this process that has ended.
-		endedFence atomic.Int64
+		// mu guards the beginning and the end of a term, and endedFence.
+		mu locker.Mutex
+		// endedFence is the highest fencing token up to which all terms of this process have ended or will
+		// never begin.
+		endedFence meter.LeaseEpoch
 		// unrecordedEnds are the ended runs that this term knew and may not have recorded; it is never
 		// changed after it is stored.
 		unrecordedEnds atomic.Pointer[[]fleet.EndedRun]
@@ -158,7 +162,7 @@
 
 // New returns a controller that does nothing until Run is called.
 func New(de Dependencies, op Options) *Controller {
-	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Completion)}
+	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Completion), mu: locker.New(locker.RankMembers)}
 }
 
 // Leader reads from the store which instance is the leader; an empty instance means that there is
@@ -181,8 +185,36 @@
 // Leading reports whether this instance is the leader.
 func (co *Controller) Leading() bool { return co.term.Load() != nil }
 
-// EndedFence returns the fencing token of the last term of this process that has ended; 0 means none.
-func (co *Controller) EndedFence() meter.LeaseEpoch { return meter.LeaseEpoch(co.endedFence.Load()) }
+// Renounce makes sure that no term with a fencing token, or a lower one, begins any more, and returns the
+// token up to which all terms have ended. This process may have acquired such a term without knowing it,
+// because the store did not answer. The caller has replaced that term.
+func (co *Controller) Renounce(fence meter.LeaseEpoch) meter.LeaseEpoch {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if te := co.term.Load(); te == nil || te.fence > fence {
+		co.endedFence = max(co.endedFence, fence)
+	}
+	return co.endedFence
+}
+
+// begin makes a term the present one, unless it has been renounced.
+func (co *Controller) begin(te *term) bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if te.fence <= co.endedFence {
+		return false
+	}
+	co.term.Store(te)
+	return true
+}
+
+// end records that the present term is over.
+func (co *Controller) end(te *term) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.endedFence = max(co.endedFence, te.fence)
+	co.term.Store(nil)
+}
 
 // UnrecordedEnds returns the ended runs that the last term of this process knew and may not have recorded.
 func (co *Controller) UnrecordedEnds() []fleet.EndedRun {
@@ -227,14 +259,17 @@
 		}
 		co.candidate.Store(nil)
 		te := newTerm(co, el)
-		co.term.Store(te)
+		if !co.begin(te) {
+			te.log.Info().Msg("leadershipRenounced")
+			te.release()
+			continue
+		}
 		co.reportLeadership(true)
 		te.run(ctx)
 		ends := te.endsToHandOver()
 		co.unrecordedEnds.Store(&ends)
-		co.endedFence.Store(int64(te.fence))
+		co.end(te)
 		co.reportLeadership(false)
-		co.term.Store(nil)
 		if ctx.Err() != nil && !te.lost.Load() {
 			el.Release(last)
 		}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -259,9 +259,14 @@
 // shutDown cancels the calls in progress and waits until they have returned.
 func (te *term) shutDown() {
 	te.cancel()
+	te.release()
+	te.log.Info().Bool("lost", te.lost.Load()).Int("unrecordedEnds", len(te.endsToHandOver())).Int64("heldMillis", int64(te.Clock.Now()-te.startedAt)).Msg("leaderTermEnded")
+}
+
+// release ends the goroutines that send commands.
+func (te *term) release() {
 	te.commands.Close()
 	te.polls.Close()
-	te.log.Info().Bool("lost", te.lost.Load()).Int("unrecordedEnds", len(te.endsToHandOver())).Int64("heldMillis", int64(te.Clock.Now()-te.startedAt)).Msg("leaderTermEnded")
 }
 
 // loadJobRows reads the rows of the jobs. No other instance changes them any more, because
--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -71,8 +71,9 @@
 		// AcceptTransfer makes this instance acquire leadership from the leader with a fencing
 		// token, until the leader's row has the given number of renewals.
 		AcceptTransfer(fence meter.LeaseEpoch, endsAtRenewal int64)
-		// EndedFence returns the fencing token of the last term of this process that has ended.
-		EndedFence() meter.LeaseEpoch
+		// Renounce makes sure that no term with a fencing token, or a lower one, begins any more, and returns
+		// the token up to which all terms of this process have ended.
+		Renounce(fence meter.LeaseEpoch) meter.LeaseEpoch
 		// UnrecordedEnds returns ended runs that this term knew and may not have recorded.
 		UnrecordedEnds() []fleet.EndedRun
 	}
@@ -197,7 +198,7 @@
 
 // Ping reports whether the process at an address answers a ping.
 func (me *Messenger) Ping(ctx context.Context, address string) bool {
-	_, err := me.ping(ctx, address, false)
+	_, err := me.ping(ctx, address, peer.Ping{})
 	return err == nil
 }
 
@@ -205,7 +206,7 @@
 // replaced by another one. A refused connection proves nothing, because a partition may refuse it too. It
 // also returns the ended runs that the process knows and may not have recorded.
 func (me *Messenger) TermEnded(ctx context.Context, leader ledger.FormerLeader) ([]fleet.EndedRun, bool) {
-	reply, err := me.ping(ctx, leader.Address, true)
+	reply, err := me.ping(ctx, leader.Address, peer.Ping{Fence: leader.Fence, Ends: true})
 	if err != nil {
 		return nil, false
 	}
@@ -217,13 +218,14 @@
 }
 
 // ping opens a new connection, because an existing one may be dead without having been closed.
-func (me *Messenger) ping(ctx context.Context, address string, ends bool) (peer.InstanceReply, error) {
+func (me *Messenger) ping(ctx context.Context, address string, args peer.Ping) (peer.InstanceReply, error) {
 	ctx, cancel := me.Clock.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	di := dialer.New(me.Clock, pingTimeout, me.Dial)
 	defer di.Close()
 	var reply peer.InstanceReply
-	err := di.Call(ctx, address, methodPing, peer.Ping{Instance: me.Instance, Ends: ends}, &reply)
+	args.Instance = me.Instance
+	err := di.Call(ctx, address, methodPing, args, &reply)
 	return reply, err
 }
 
@@ -275,7 +277,7 @@
 
 // Ping answers that this process is running, and which of its terms has ended.
 func (se *Service) Ping(args peer.Ping, reply *peer.InstanceReply) error {
-	*reply = peer.InstanceReply{Instance: se.me.Instance, Incarnation: se.me.Incarnation, EndedFence: se.candidate.EndedFence()}
+	*reply = peer.InstanceReply{Instance: se.me.Instance, Incarnation: se.me.Incarnation, EndedFence: se.candidate.Renounce(args.Fence)}
 	if args.Ends {
 		reply.Ends = encodeEnds(se.candidate.UnrecordedEnds())
 	}
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -99,6 +99,25 @@
 			asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 1)
 		})
 	})
+	// Guards against a process that acquired leadership without an answer, gave up, and so never tells the end
+	// of a term that it never began.
+	t.Run("a process that does not know that it leads ends that term", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			ha.sleep(settledTime)
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(20), tasks(1, 8)))
+			ha.sleep(2 * time.Second)
+			ha.cluster.Crash(ha.cluster.RunnersOf(jo.ID)[0], 0)
+			former := ha.leader()
+			ha.powerOff(former)
+			ha.cluster.LoseNextResponses(1)
+			unwitting := ha.awaitLeaderOtherThan(ha.instances[former].name)
+			ha.cluster.StoreOutage(unwitting, fleet.Busy) // refuses to answer the repeated transaction
+			ha.restart(former)
+			ha.awaitLeaderOtherThan(unwitting)
+			ha.sleep(leaseTime + 2*time.Second)
+			asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 1)
+		})
+	})
 }
 
 // TestReplacedWorker guards against work that waits for the leases of a worker at whose address another one
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -336,6 +336,14 @@
 	return leader.Instance
 }
 
+// awaitLeaderOtherThan waits until the store names another leader, and returns its name.
+func (ha *harness) awaitLeaderOtherThan(name string) string {
+	for ha.leaderName() == name {
+		ha.sleep(time.Millisecond)
+	}
+	return ha.leaderName()
+}
+
 // renewals returns how often the leader has renewed its leadership.
 func (ha *harness) renewals() int64 {
 	var leader struct {
