Fail a job for crashes of its workers only on proof that other causes do not explain

Cause: two crashes of the only run that was under 4 s old, or three that other runs shared, failed a job. Workers crash for other causes too, a wide job is hit by most of them, and a run that lasted long between two crashes did not count. Change: a job fails at a weight of 5: three crashes of which two have no other likely cause, five that may have others, or two runs of a gang that took most of its workers. A run that lasts 4 s clears its task. While a crash is judged that may fail the job, its task is not started again, so that no further worker is lost to the longer proof. Why it works: a task that crashes its workers does so soon after each start, and of a gang under most members; crashes of other causes do neither for long. The bounds on crashes of a deadly task (TestDeadlyTasks, stand-in) are unchanged.

--- a/decisions/planner/limits_test.go
+++ b/decisions/planner/limits_test.go
@@ -86,6 +86,19 @@
 		jo.Stages[0].Tasks[0].PlacedAt = fx.Now - 10_000
 		asserter.Equal(t, starts(plan(fx), jo), 1)
 	})
+	t.Run("a suspect or a gang is not started before its time", func(t *testing.T) {
+		fx := newFixture(4, 2)
+		jo, gang := suspects(fx, 1), fx.add(batch, "a", workload.Step{Count: 2, Gang: true, Request: step(1, 1).Request})
+		for _, tasks := range [][]workload.Task{jo.Stages[0].Tasks, gang.Stages[0].Tasks} {
+			for i := range tasks {
+				tasks[i].NotBefore = fx.Now + 1
+			}
+		}
+		asserter.Equal(t, starts(plan(fx), jo)+starts(plan(fx), gang), 0)
+		fx.Now++
+		asserter.Equal(t, starts(plan(fx), jo), 1)
+		asserter.Equal(t, starts(plan(fx), gang), 2)
+	})
 	t.Run("other work avoids a worker with a suspect, and shares it where it must", func(t *testing.T) {
 		fx := newFixture(2, 2)
 		jo := suspects(fx, 1)
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -207,28 +207,28 @@
 		if !st.Idle() {
 			return nil
 		}
-		return waiting(st, false)
+		return ro.waiting(st, false)
 	}
 	for i := range st.Tasks {
 		if st.Tasks[i].CrashWeight > 0 && st.Unproven(i, false, ro.in.Now) {
-			return waiting(st, true)
+			return ro.waiting(st, true)
 		}
 	}
-	indexes := waiting(st, true)
+	indexes := ro.waiting(st, true)
 	for i := range st.Tasks {
-		if st.Tasks[i].Phase == workload.Waiting && st.Tasks[i].CrashWeight > 0 {
+		if st.Tasks[i].Phase == workload.Waiting && st.Tasks[i].CrashWeight > 0 && st.Tasks[i].NotBefore <= ro.in.Now {
 			return append(indexes, i)
 		}
 	}
 	return indexes
 }
 
-// waiting returns the indexes of the waiting tasks, without those under which workers have crashed if
-// trusted is set.
-func waiting(st *workload.Stage, trusted bool) []int {
+// waiting returns the indexes of the waiting tasks whose time has come, without those under which workers
+// have crashed if trusted is set.
+func (ro *round) waiting(st *workload.Stage, trusted bool) []int {
 	var indexes []int
 	for i := range st.Tasks {
-		if st.Tasks[i].Phase == workload.Waiting && (!trusted || st.Tasks[i].CrashWeight == 0) {
+		if st.Tasks[i].Phase == workload.Waiting && st.Tasks[i].NotBefore <= ro.in.Now && (!trusted || st.Tasks[i].CrashWeight == 0) {
 			indexes = append(indexes, i)
 		}
 	}
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -172,6 +172,8 @@
 		// Silenced means that the worker went silent soon after the last run had started, and is not known
 		// to have crashed. It is not stored.
 		Silenced bool
+		// NotBefore is the earliest time of the next start; it is not stored.
+		NotBefore clock.Millis
 		// EarlierDone means that an earlier run has completed, so that the task is done when its present run
 		// has ended. It is not stored.
 		EarlierDone bool
--- a/wagtailcroftd/controller/crashes.go
+++ b/wagtailcroftd/controller/crashes.go
@@ -63,7 +63,11 @@
 	si := &silence{worker: wo.id, incarnation: wo.report.Incarnation, after: min(after, now), since: now, timedOut: timedOut}
 	newest := 0
 	for key, pl := range wo.runs {
-		if !pl.startSent || aliveAt-pl.sentAt > youngRun {
+		if !pl.startSent {
+			continue
+		}
+		if aliveAt-pl.sentAt > youngRun {
+			te.clearSuspect(key)
 			continue
 		}
 		sole := aliveAt-pl.sentAt <= newestRun
@@ -130,6 +134,11 @@
 	te.Metrics.Count("workerCrashes", "proven")
 	te.log.Warn().Str("worker", string(si.worker)).Int64("silentMillis", int64(now-si.since)).Int("suspects", len(si.suspects)).Msg("workerCrashed")
 	te.crashes = append(te.crashes, si)
+	for _, su := range si.suspects {
+		if en := te.jobs[su.key.Job]; en != nil {
+			en.job.Postpone(su.key, te.crashWeight(si, su), si.since+outageNoticed)
+		}
+	}
 	te.trigger()
 }
 
@@ -142,21 +151,53 @@
 		}
 		for _, su := range si.suspects {
 			if !te.inOutage(si, su.key.Job) {
-				te.blame(si.worker, su)
+				te.blame(si.worker, su, te.crashWeight(si, su))
 			}
 		}
 		return true
 	})
 }
 
-// blame records the crash of a worker with a task that may be the cause.
-func (te *term) blame(id identifier.Worker, su suspect) {
+// crashWeight returns how strongly a crash points to a suspect.
+func (te *term) crashWeight(si *silence, su suspect) workload.CrashWeight {
 	en := te.jobs[su.key.Job]
-	te.log.Warn().Str("task", su.key.String()).Int64("run", int64(su.run)).Str("worker", string(id)).Bool("sole", su.sole).Msg("crashSuspected")
-	weight := workload.SharedSuspect
+	if en == nil {
+		return workload.SharedSuspect
+	}
+	st, _ := en.job.Task(su.key)
+	if st != nil && en.job.StepOf(st).Gang && te.gangCrashes(si, su) > len(st.Tasks)/2 {
+		return workload.GangSuspect
+	}
 	if su.sole {
-		weight = workload.SoleSuspect
+		return workload.SoleSuspect
 	}
+	return workload.SharedSuspect
+}
+
+// gangCrashes returns how many workers went silent at about the same time under one run of a gang.
+func (te *term) gangCrashes(si *silence, su suspect) int {
+	workers := map[identifier.Worker]bool{}
+	for _, other := range te.outages {
+		if max(other.after-si.since, si.after-other.since) <= outageSpread && slices.ContainsFunc(other.suspects, func(of suspect) bool {
+			return of.run == su.run && of.key.Job == su.key.Job && of.key.Occurrence == su.key.Occurrence && of.key.Step == su.key.Step
+		}) {
+			workers[other.worker] = true
+		}
+	}
+	return len(workers)
+}
+
+// clearSuspect takes a task for innocent of crashes, because a run of it has lasted.
+func (te *term) clearSuspect(key workload.TaskKey) {
+	if en := te.jobs[key.Job]; en != nil {
+		en.job.Clear(key)
+	}
+}
+
+// blame records the crash of a worker with a task that may be the cause.
+func (te *term) blame(id identifier.Worker, su suspect, weight workload.CrashWeight) {
+	en := te.jobs[su.key.Job]
+	te.log.Warn().Str("task", su.key.String()).Int64("run", int64(su.run)).Str("worker", string(id)).Bool("sole", su.sole).Int("weight", int(weight)).Msg("crashSuspected")
 	if en == nil || !en.job.RecordCrash(su.key, su.run, weight) {
 		return
 	}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -321,6 +321,9 @@
 	if earlier {
 		te.markStops(en.job)
 	}
+	if proof == assessor.Listed && pl != nil && pl.startedAt > 0 && te.Clock.Now()-pl.startedAt > youngRun {
+		en.job.Clear(key)
+	}
 	ta.Silenced = co.Outcome == workload.OutcomeLeaseExpired && te.silenced(wo, key, co.Run)
 	te.Metrics.Count("ends", co.Outcome.String())
 	te.trackFailures(wo, key.Job, co.Outcome)
--- a/wagtailcroftd/participant/deadly_test.go
+++ b/wagtailcroftd/participant/deadly_test.go
@@ -119,6 +119,34 @@
 			ha.awaitState(0, jo, "completed", 60*time.Second)
 		})
 	})
+	// Guards against jobs that are shown as failed though no run has failed, because their workers crashed for
+	// other causes (LOST).
+	t.Run("a task whose workers crash twice soon after its start is not given up", func(t *testing.T) {
+		runScenario(t, 3, 3, func(ha *harness) {
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(6), tasks(1, 8)))
+			for range 2 {
+				ha.sleep(1500 * time.Millisecond)
+				ha.cluster.Crash(ha.cluster.RunnersOf(jo.ID)[0], time.Second)
+				ha.sleep(2 * time.Second)
+			}
+			ha.awaitState(0, jo, "completed", 30*time.Second)
+		})
+	})
+	t.Run("gangs and wide steps whose workers crash one at a time are not given up", func(t *testing.T) {
+		runScenario(t, 3, 8, func(ha *harness) {
+			jobs := []fleet.Job{
+				ha.mustSubmit(0, ha.job(normalPrefix, seconds(6), asGang(tasks(4, 8)))),
+				ha.mustSubmit(0, ha.job(normalPrefix, seconds(6), tasks(4, 8))),
+			}
+			for i := range 20 {
+				ha.sleep(2 * time.Second)
+				ha.cluster.Crash(i*3%8, time.Second)
+			}
+			for _, jo := range jobs {
+				ha.awaitState(0, jo, "completed", 60*time.Second)
+			}
+		})
+	})
 	t.Run("a task that has run for long when its workers crash is not given up", func(t *testing.T) {
 		runScenario(t, 3, 3, func(ha *harness) {
 			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(9), tasks(1, 8)))
