Refuse unknown keys at queues that need none, and open the jobs of a workspace to its own keys only

Callers saw: a key that was taken away was answered 200 at a queue that needs no key, told of another workspace's job, and cancelled it (CONFIG). Cause: an unknown key was taken for no key there, and such a queue opened the jobs of all workspaces, also to keys of other ones. A call without a key is treated as before. Why it works: a key that was taken away is unknown, whatever the queue.

--- a/decisions/policy/policy.go
+++ b/decisions/policy/policy.go
@@ -137,7 +137,8 @@
 	return &po.Queues[i]
 }
 
-// Access authorizes a call and finds its queue. Errors are of the kinds NotFound and
+// Access authorizes a call and finds its queue. A call without an API key has an empty key; an unknown key
+// is refused at each queue, because it may have been taken away. Errors are of the kinds NotFound and
 // BadToken.
 func (po *Policy) Access(host, path, key string) (Access, error) {
 	qu, rest := po.Route(host, path)
@@ -145,7 +146,7 @@
 		return Access{}, problem.New(problem.NotFound, "no queue matches host %s and path %s", host, path)
 	}
 	owner, known := po.WorkspaceOf(key)
-	if !known && !qu.AllowAnonymous {
+	if !known && (key != "" || !qu.AllowAnonymous) {
 		return Access{}, problem.New(problem.BadToken, "the API key does not belong to any workspace")
 	}
 	return Access{Queue: qu, Workspace: owner, Rest: rest, Version: po.Version}, nil
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -196,9 +196,9 @@
 }
 
 // visible reports whether a request may see a job. The jobs of a workspace can be seen only
-// with its API keys, or through a queue that needs no key.
+// with its API keys, or without any key through a queue that needs none.
 func visible(ac policy.Access, pr ledger.Progress) bool {
-	return pr.Workspace == "" || ac.Workspace == pr.Workspace || ac.Queue.AllowAnonymous
+	return pr.Workspace == "" || ac.Workspace == pr.Workspace || ac.Workspace == "" && ac.Queue.AllowAnonymous
 }
 
 // outcome returns the metric label for the result of a submission.
--- a/wagtailcroftd/participant/jobs_test.go
+++ b/wagtailcroftd/participant/jobs_test.go
@@ -143,6 +143,29 @@
 			asserter.Equal(t, status, http.StatusGone)
 		})
 	})
+	// Guards against keys of other workspaces, and keys that were taken away, which act on a job at a queue that
+	// needs no key (CONFIG).
+	for name, ex := range map[string]struct {
+		key  string
+		want int
+	}{"a key of another workspace": {bobKey, http.StatusGone}, "a key that was taken away": {"former-key", http.StatusUnauthorized}} {
+		t.Run("a queue that needs no key does not open the jobs of others to "+name, func(t *testing.T) {
+			runScenario(t, 3, 4, func(ha *harness) {
+				open := route("open", "/open/", 2)
+				open.AllowAnonymous = true
+				ha.config.Version++
+				ha.config.Routes = append(ha.config.Routes, open)
+				ha.cluster.Configure(ha.config)
+				ha.sleep(time.Second)
+				jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(5), tasks(1, 1)))
+				for _, method := range []string{http.MethodGet, http.MethodDelete} {
+					status, _, _ := ha.call(1, method, open.PathPrefix+jo.ID, ex.key, struct{}{})
+					asserter.Equal(t, status, ex.want)
+				}
+				ha.awaitState(0, jo, "completed", 7*time.Second)
+			})
+		})
+	}
 	t.Run("an invalid job is refused and not stored", func(t *testing.T) {
 		runScenario(t, 3, 4, func(ha *harness) {
 			later := tasks(1, 1)
