Play random faults on real processes, sockets and clocks

Cause: the users saw tasks run twice on machines of their own, with real processes; our tests use a fake clock and a transport in memory, and could not show it. Change: the module soak starts three processes of `wagtailcroftd schedule` against the stand-in of the platform on loopback ports. Relayers before the workers and the store delay calls and answers, so that they overtake each other, execute calls seconds late, lose answers and reset connections. Processes are paused, killed and stopped; workers crash, are replaced, leave, fall silent, and entries of former lives come back. The workers check TWICE, LIMIT, ORDER, BUDGET and FENCE, the player that each accepted job completes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Run `make help` for a list of the targets.
 
 BIN := $(CURDIR)/.bin
-MODULES := shared decisions platform standin wagtailcroftd wagtailcroft demo bench
+MODULES := shared decisions platform standin wagtailcroftd wagtailcroft demo bench soak
 SCHEMAS := types caller operator peer rows platform runner settings ledger member
 OAPI_VERSION := v2.8.2
 LINT_VERSION := v2.15.0
@@ -10,13 +10,13 @@
 RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: help build demo test lint generate check-generated bench days journal-page fuzz soak faults slopes lines
+.PHONY: help build demo test lint generate check-generated bench days journal-page fuzz soak process-soak faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 build: ## build the programs into .bin
-	@for m in wagtailcroftd wagtailcroft standin demo bench; do go build -o $(BIN)/$$m ./$$m || exit 1; done
+	@for m in wagtailcroftd wagtailcroft standin demo bench soak; do go build -o $(BIN)/$$m ./$$m || exit 1; done
 
 demo: build ## run the workloads of both deployments on loopback in one process
 	$(BIN)/demo run
@@ -51,6 +51,9 @@
 	@seed=$${WAGTAILCROFT_SEED:-$$(date +%s)}; echo "WAGTAILCROFT_SEED=$$seed"; \
 	cd wagtailcroftd && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=2000 go test -count=1 -timeout 20m -run TestRandomFaults ./participant
 
+process-soak: build ## play random faults on real processes, 24 plays with new seeds that are printed, about four minutes
+	$(BIN)/soak --program $(BIN)/wagtailcroftd --dir $$(mktemp -d) --seed $${WAGTAILCROFT_SEED:-$$(date +%s)} --count 24 --parallel 5
+
 lint: $(BIN)/golangci-lint ## check the code with gofmt and golangci-lint
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); exit 1; }
 	@for m in $(MODULES); do (cd $$m && $(BIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 		Addresses []string
 		// GangTimeout is how long a member of a gang waits for the other members.
 		GangTimeout time.Duration
+		// Wrap, if not nil, wraps the handler of each runner of a Server.
+		Wrap func(next http.Handler) http.Handler
 	}
 
 	// Behavior determines how the simulated tasks of a job behave.
--- a/standin/fleet/listener.go
+++ b/standin/fleet/listener.go
@@ -42,7 +42,11 @@
 	sr := &Server{Cluster: cl, StoreAddress: listeners[0].Addr().String(), AdviceAddress: listeners[1].Addr().String(), MachinesAddress: listeners[2].Addr().String()}
 	handlers := []http.Handler{cl.Store, cl.Advice, cl.machines}
 	for _, address := range op.Addresses {
-		handlers = append(handlers, cl.runnerAt(address))
+		ha := cl.runnerAt(address)
+		if op.Wrap != nil {
+			ha = op.Wrap(ha)
+		}
+		handlers = append(handlers, ha)
 	}
 	for i, ln := range listeners {
 		sv := &http.Server{Handler: handlers[i], ReadHeaderTimeout: headerTimeout}
