Record the ended runs before a leader that is stopped releases leadership

Callers saw: work that is done again after a planned stop, if its worker leaves or crashes right after it (LOST, TWICE). Cause: a leader that is stopped ended its calls and released leadership; ends that it had read and not recorded were dropped. Its successor asks only leaders whose terms may not have ended, and a released term has. What a cancelled transaction contained is kept for it. Why it works: the rows tell the next leader all that this one knew.

--- a/wagtailcroftd/controller/acknowledge.go
+++ b/wagtailcroftd/controller/acknowledge.go
@@ -31,6 +31,22 @@
 	}
 }
 
+// keepUnrecorded keeps what a batch contains and the store may not hold for the next one.
+func (te *term) keepUnrecorded(ba batch) {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	for i := range ba.changes {
+		ch := &ba.changes[i]
+		if ch.recorded {
+			continue
+		}
+		ch.entry.dirty = true
+		for wo, id := range ch.ends {
+			ch.entry.noteUnrecorded(wo, id)
+		}
+	}
+}
+
 // noteUnrecorded notes a completion that the row of the job does not contain yet.
 func (en *entry) noteUnrecorded(wo *worker, id completionID) {
 	if known, noted := en.unrecorded[wo]; noted && known.incarnation == id.incarnation && known.number <= id.number {
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 
@@ -28,6 +29,9 @@
 	countsInterval = 500 * clock.Millis(1)
 	// refusedRowPause is the time after which a row that the store has refused is written again.
 	refusedRowPause = 5 * clock.Second
+	// flushTries is how often the last changes of a term are written: again after a conflict with a write
+	// whose answer did not come.
+	flushTries = 2
 )
 
 type (
@@ -179,6 +183,7 @@
 		// the interval.
 		renew = (len(rest) > 0 || !renewed) && te.renewalDue()
 		if !ok {
+			te.keepUnrecorded(ba)
 			return false
 		}
 	}
@@ -189,6 +194,21 @@
 	return true
 }
 
+// flush records what is known when this instance is stopped, before it releases leadership: nobody asks a
+// leader that has released it. The calls of the term have returned. ctx limits the time.
+func (te *term) flush(ctx context.Context) {
+	te.ctx, te.cancel = te.Clock.WithTimeout(ctx, elector.WriteTimeout)
+	defer te.cancel()
+	for range flushTries {
+		te.mu.Lock()
+		ba := te.batch()
+		te.mu.Unlock()
+		if len(ba.changes) == 0 || !te.commit(ba) {
+			return
+		}
+	}
+}
+
 // split returns the changes that fit into one transaction, and those left over.
 func split(changes []change) (part, left []change) {
 	entries, size := 0, 0
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -266,6 +266,9 @@
 		}
 		co.reportLeadership(true)
 		te.run(ctx)
+		if ctx.Err() != nil && !te.lost.Load() {
+			te.flush(last)
+		}
 		ends := te.endsToHandOver()
 		co.unrecordedEnds.Store(&ends)
 		co.end(te)
--- a/wagtailcroftd/participant/evidence_test.go
+++ b/wagtailcroftd/participant/evidence_test.go
@@ -245,4 +245,25 @@
 			asserter.Equal(t, ha.cluster.StartCount(), 1)
 		})
 	})
+	// Guards against ends that a leader knows when it is stopped, and that nobody asks it for.
+	t.Run("a leader that is stopped records the ended runs before it releases leadership", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			ha.sleep(settledTime)
+			first := ha.mustSubmit(0, ha.job(normalPrefix, seconds(3), tasks(1, 8)))
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(3.1), tasks(1, 8)))
+			ha.sleep(2800 * time.Millisecond)
+			at, former := ha.cluster.RunnersOf(jo.ID)[0], ha.leader()
+			ha.cluster.SlowStore(50) // the end of the second job waits while that of the first is written
+			ha.sleep(400 * time.Millisecond)
+			asserter.Equal(t, len(ha.cluster.RunnersOf(jo.ID)), 0)
+			close(ha.instances[former].stop)
+			ha.cluster.Crash(at, 0)
+			ha.cluster.SlowStore(1)
+			ha.sleep(2 * time.Second)
+			ha.kill(former)
+			ha.awaitState(ha.leader(), first, "completed", 2*time.Second)
+			ha.awaitState(ha.leader(), jo, "completed", 2*time.Second)
+			asserter.Equal(t, ha.cluster.StartCount(), 2)
+		})
+	})
 }
