Tell the oracle of the soak when the store is disturbed

Cause: the oracle counts a start on a draining worker only while the store has been sound, because instances learn of a departure from it. The soak disturbs the store through relayers, of which the oracle did not know. Change: the soak records the beginning and the end of its faults of the store, as the faults of the stand-in's own transport do.

--- a/soak/player/faults.go
+++ b/soak/player/faults.go
@@ -37,10 +37,10 @@
 			pl.sr.OverwriteEntry(worker, func(en *wire.Entry) { en.Born -= int64(bornEarlier) })
 			time.AfterFunc(last/2, func() { pl.sr.OverwriteEntry(worker, func(*wire.Entry) {}) })
 		}},
-		{"the calls to the store are rough", func() { pl.during(last, relayer.Rough, pl.stores...) }},
-		{"the store is busy", func() { pl.during(last, relayer.Busy, pl.stores...) }},
-		{"the store is silent for one instance", func() { pl.during(last*2, relayer.Silent, pl.stores[at]) }},
-		{"the store turns one instance away", func() { pl.during(last*2, relayer.Busy, pl.stores[at]) }},
+		{"the calls to the store are rough", func() { pl.disturbStore(last, relayer.Rough, pl.stores...) }},
+		{"the store is busy", func() { pl.disturbStore(last, relayer.Busy, pl.stores...) }},
+		{"the store is silent for one instance", func() { pl.disturbStore(last*2, relayer.Silent, pl.stores[at]) }},
+		{"the store turns one instance away", func() { pl.disturbStore(last*2, relayer.Busy, pl.stores[at]) }},
 		{"the store forgets its history", pl.sr.Store.Compact},
 		{"an instance is paused", func() { pl.pause(at, last) }},
 		{"an instance is paused", func() { pl.pause(at, last) }},
@@ -76,6 +76,19 @@
 	}
 }
 
+// disturbStore disturbs calls to the store. The oracle must know, because instances learn of a worker's
+// departure from the store only.
+func (pl *play) disturbStore(last time.Duration, mode relayer.Mode, stores ...*relayer.Relayer) {
+	pl.storeFaults.Add(1)
+	pl.sr.RecordStoreFault(true)
+	pl.during(last, mode, stores...)
+	time.AfterFunc(last, func() {
+		if pl.storeFaults.Add(-1) == 0 {
+			pl.sr.RecordStoreFault(false)
+		}
+	})
+}
+
 // pause stops the process of an instance for a time.
 func (pl *play) pause(at int, last time.Duration) {
 	in := pl.instances[at]
--- a/soak/player/player.go
+++ b/soak/player/player.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,6 +62,8 @@
 		stores    []*relayer.Relayer
 		instances []*launcher.Instance
 		client    *http.Client
+		// storeFaults is the number of faults of the store in progress.
+		storeFaults atomic.Int64
 
 		mu sync.Mutex
 		// accepted holds the jobs that were accepted, and broken what was seen of broken rules; both are
--- a/standin/fleet/transport.go
+++ b/standin/fleet/transport.go
@@ -116,6 +116,9 @@
 	cl.Store.latencyFactor = x
 }
 
+// RecordStoreFault records that a fault of the store that others inject begins or ends now.
+func (cl *Cluster) RecordStoreFault(on bool) { cl.faults.setStoreFault(on) }
+
 // setStoreFault records that a store fault begins or ends now.
 func (fa *faults) setStoreFault(on bool) {
 	fa.mu.Lock()
