Move the planner's rules behind points: filters and costs in one unit

Change: decisions/planner/filter.go holds the filters, cost.go the costs in expected milliseconds that a job loses; a worker left free in pieces costs a power of two, so that scores only scale. Input.Costs takes further rules from other packages.

--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -85,6 +85,9 @@
 		Guarantees map[identifier.Workspace]meter.Accelerators
 		// Allowed reports whether a worker may run a stage; nil allows all workers.
 		Allowed func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool
+		// Costs are the rules that make some workers worse for a task than others, beyond those of the
+		// planner itself.
+		Costs []Cost
 		// Demand is the recent demand of urgent work in each pool.
 		Demand map[identifier.Pool]Demand
 		// ExpectedRunTime returns the expected run time of a task of a step; if it is nil,
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -79,6 +79,8 @@
 		// occupied is the number of runs here and of tasks that the plan places here, and unproven that of
 		// those that may crash the worker.
 		occupied, unproven int
+		// occupants holds the steps of all that is occupied. It is kept only where a rule of the input needs it.
+		occupants []*workload.Step
 	}
 
 	// run is a run that may be preempted.
@@ -170,7 +172,7 @@
 	}
 	req := ru.job.StepOf(ru.stage).Reserved()
 	sl.free = sl.free.Sub(req)
-	sl.occupied++
+	ro.addOccupant(sl, ru.job.StepOf(ru.stage))
 	if ru.stage.Unproven(ru.index, ru.job.StepOf(ru.stage).Gang, ro.in.Now) {
 		sl.unproven++
 	}
@@ -183,6 +185,13 @@
 	}
 }
 
+func (ro *round) addOccupant(sl *slot, step *workload.Step) {
+	sl.occupied++
+	if len(ro.in.Costs) > 0 {
+		sl.occupants = append(sl.occupants, step)
+	}
+}
+
 // place starts the tasks of a candidate, or reserves resources for them that will be free
 // soon, or preempts other runs.
 func (ro *round) place(ca candidate) {
@@ -308,7 +317,7 @@
 			sl.planned = map[*workload.Stage]int{}
 		}
 		sl.planned[ca.stage]++
-		sl.occupied++
+		ro.addOccupant(sl, ca.step)
 		if ca.suspect {
 			sl.unproven++
 		}
@@ -353,43 +362,3 @@
 	}
 	return ro.in.WaitTime(ca.job.ID) < most
 }
-
-// allowed returns the slots that may run the tasks. Slots on which the last run of one of
-// the tasks failed are returned only if there are no others.
-func (ro *round) allowed(ca candidate, indexes []int) []*slot {
-	slots := make([]*slot, 0, len(ro.slots))
-	var failed []*slot
-	lastFailedOn := failedOn(ca, indexes)
-	for _, sl := range ro.slots {
-		wo := sl.worker
-		if sl.held || !wo.Usable || wo.Pool != ca.queue.Pool || !wo.Capacity.Fits(ca.step.Reserved()) {
-			continue
-		}
-		if ca.step.Requires != "" && !slices.Contains(wo.Labels, ca.step.Requires) {
-			continue
-		}
-		if ro.in.Allowed != nil && !ro.in.Allowed(ca.job, ca.stage, wo.ID) {
-			continue
-		}
-		if slices.Contains(lastFailedOn, wo.ID) {
-			failed = append(failed, sl)
-			continue
-		}
-		slots = append(slots, sl)
-	}
-	if len(slots) == 0 {
-		return failed
-	}
-	return slots
-}
-
-// failedOn returns the workers on which the last runs of the tasks failed.
-func failedOn(ca candidate, indexes []int) []identifier.Worker {
-	var workers []identifier.Worker
-	for _, i := range indexes {
-		if wo := ca.stage.Tasks[i].FailedOn; wo != "" {
-			workers = append(workers, wo)
-		}
-	}
-	return workers
-}
