Start nothing in an evacuated zone

Change: platform decodes the row and reads evacuateMs, zones and coldRemainingMs; the follower keeps the evacuated zones with the versions of their rows; the controller counts their workers as not usable, gives up starts that are planned there, and lets a start leave only within 0.8 of evacuateMs of the last confirmation and while its zone isn't evacuated, checked right before each write. Runs at work stay. Workers that are cold are taken last. Without evacuateMs nothing changes.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -37,9 +37,9 @@
 	// ErrNoAnswer means that the worker did not answer. The command may have been carried
 	// out, may still be carried out later, or may be lost.
 	ErrNoAnswer = eris.New("the worker did not answer; send the command again, or stop the run to learn its outcome")
-	// ErrNotSent means that the latest moment for the command had passed before its first byte
-	// was written, so that nothing was sent.
-	ErrNotSent = eris.New("the command was not sent, because another instance may be the leader by now; send it after the next renewal of the leadership")
+	// ErrNotSent means that the latest moment for the command had passed, or that it was forbidden, before its
+	// first byte was written, so that nothing was sent.
+	ErrNotSent = eris.New("the command was not sent, because another instance may be the leader by now or the zone of the worker may be evacuated; decide again after the next renewal of the leadership")
 )
 
 type (
@@ -58,8 +58,14 @@
 		Draining bool
 		// Remaining is the minimum time until a draining worker leaves.
 		Remaining clock.Millis
+		// Cold is how much longer the worker is slow; 0 means that it is not.
+		Cold clock.Millis
 	}
 
+	// Evacuations holds the availability zones in which no run may be started, each with the version of
+	// the row by which operators have requested that.
+	Evacuations map[identifier.Zone]meter.RowVersion
+
 	// Target identifies a worker and the address at which it is reached.
 	Target struct {
 		ID      identifier.Worker
@@ -67,6 +73,9 @@
 		// SendBy is the latest moment, on this instance's clock, at which a command may leave
 		// the process.
 		SendBy clock.Millis
+		// Forbidden reports whether a command may no longer leave although SendBy has not passed; nil
+		// means that it always may.
+		Forbidden func() bool
 	}
 
 	// StartCommand is the command to start a run of a task.
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -15,6 +15,9 @@
 	// CallerAddress Listen address for callers.
 	CallerAddress string `json:"callerAddress" toml:"callerAddress" validate:"required,hostname_port"`
 
+	// EvacuateMillis Time since the evacuations of availability zones were last confirmed after which no run is started, in milliseconds; 0 means that no zone is evacuated.
+	EvacuateMillis externalRef0.Millis `json:"evacuateMillis,omitempty" toml:"evacuateMillis" validate:"min=0,max=600000"`
+
 	// GangTimeoutMillis How long a member of a gang waits on its worker for the other members, in milliseconds.
 	GangTimeoutMillis externalRef0.Millis `json:"gangTimeoutMillis" toml:"gangTimeoutMillis" validate:"min=100,max=600000"`
 
@@ -71,4 +74,7 @@
 
 	// Zone Availability zone of the instance.
 	Zone externalRef0.ZoneID `json:"zone" toml:"zone" validate:"required,max=63"`
+
+	// Zones The availability zones of the system; empty means that they are not known.
+	Zones []externalRef0.ZoneID `json:"zones,omitempty" toml:"zones"`
 }
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -48,7 +48,7 @@
 
 // mayStart reports whether the start of a task's run may leave now.
 func (te *term) mayStart(wo *worker, pl *placement, ta *workload.Task, now clock.Millis) bool {
-	return ta.Phase == workload.Starting && !wo.report.Draining && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.mayChange(now)
+	return ta.Phase == workload.Starting && te.startBarrier(wo) == startAllowed && pl.recorded && wo.contacted && pl.incarnation == wo.report.Incarnation && te.maySendStarts(now)
 }
 
 // submitStart queues the start of a run. What it carries, and whether it may still leave, is decided
@@ -102,7 +102,9 @@
 	}
 	pl.inFlight, pl.startSent, pl.startUncertain, pl.resumed = true, true, true, ta.Checkpoint != ""
 	pl.tries++
-	return wo.target(te.changeBy()), fleet.StartCommand{
+	to, zone := wo.target(te.startBy()), wo.report.Zone
+	to.Forbidden = func() bool { return te.evacuated(zone) }
+	return to, fleet.StartCommand{
 		Task: key.String(), Run: pl.run, Payload: en.job.Payload,
 		LeaseEnd: te.leaseEnd(wo, now), Fence: te.fence, Checkpoint: ta.Checkpoint, Ticket: ticket,
 	}, before, true
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -70,6 +70,10 @@
 		Current() *policy.Policy
 		// Waves lists the maintenance waves that operators have requested.
 		Waves() []fleet.MaintenanceWave
+		// ConfirmedAt is the time up to which Evacuations is known to be complete.
+		ConfirmedAt() clock.Millis
+		// Evacuations holds the availability zones in which no run may be started.
+		Evacuations() fleet.Evacuations
 	}
 
 	// Clock also tells the time of day, at which repeated jobs become due.
@@ -108,6 +112,9 @@
 		StopGrace clock.Millis
 		// GangTimeout is how long a member of a gang waits on its worker for the other members.
 		GangTimeout clock.Millis
+		// MaxEvacuationAge is how long after the last confirmation of the evacuations a start may leave; 0
+		// means that no zone is evacuated.
+		MaxEvacuationAge clock.Millis
 		// MaintenanceDelay is how long a new leader waits before it sends commands to machines.
 		MaintenanceDelay clock.Millis
 		// MaxPolls is how many workers may be polled at the same time. A poll holds a connection
--- a/wagtailcroftd/controller/dispatch.go
+++ b/wagtailcroftd/controller/dispatch.go
@@ -95,14 +95,8 @@
 			return
 		}
 		te.submitStop(wo, key, pl)
-	case ta.Phase == workload.Starting && wo.report.Draining && pl.startSent:
-		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker is draining").Msg("startAbandoned")
-		te.stopTask(key)
-		te.trigger()
-	case ta.Phase == workload.Starting && wo.report.Draining:
-		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", "the worker is draining").Msg("startSkipped")
-		te.completeRun(wo, key, workload.Completion{Run: pl.run, Outcome: workload.OutcomeStopped}, assessor.StartNotSent)
-		te.trigger()
+	case ta.Phase == workload.Starting && te.startBarrier(wo) != startAllowed:
+		te.giveUpStart(wo, key, pl)
 	case te.mayStart(wo, pl, ta, now):
 		if pl.tries > 0 && now-pl.dueSince > te.startTimeout() {
 			te.log.Warn().Str("task", key.String()).Str("worker", string(wo.id)).Int("tries", pl.tries).Msg("startAbandoned")
@@ -113,3 +107,17 @@
 		te.submitStart(wo, key, pl)
 	}
 }
+
+// giveUpStart gives up a start on a worker on which none is allowed any more, so that the task is planned
+// again. A run that may be at work in an evacuated zone stays there if its worker lists it.
+func (te *term) giveUpStart(wo *worker, key workload.TaskKey, pl *placement) {
+	why := te.startBarrier(wo)
+	switch {
+	case !pl.startSent:
+		te.skipStart(wo, key, pl, why)
+	case why == workerDraining || wo.contacted:
+		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", why).Msg("startAbandoned")
+		te.stopTask(key)
+		te.trigger()
+	}
+}
--- a/wagtailcroftd/controller/dispatch_test.go
+++ b/wagtailcroftd/controller/dispatch_test.go
@@ -77,6 +77,10 @@
 
 func (noPolicies) Waves() []fleet.MaintenanceWave { return nil }
 
+func (noPolicies) ConfirmedAt() clock.Millis { return 0 }
+
+func (noPolicies) Evacuations() fleet.Evacuations { return nil }
+
 // runTerm runs fn on the term of a leader of some workers, in a testing/synctest bubble.
 func runTerm(t *testing.T, workers int, fn func(te *term)) {
 	t.Helper()
--- a/wagtailcroftd/controller/permission.go
+++ b/wagtailcroftd/controller/permission.go
@@ -40,6 +40,8 @@
 	transferRequestedAt clock.Millis
 	// heldBack means that commands are due and may not leave.
 	heldBack bool
+	// startsHeldBack means that starts are due and may not leave, because the evacuations are not confirmed.
+	startsHeldBack bool
 }
 
 // exclusiveUntil returns the moment until which no other instance acquires the leadership. After
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -213,8 +213,8 @@
 	pw := planner.Worker{
 		ID: wo.id, Incarnation: wo.report.Incarnation, Pool: wo.report.Pool, Zone: wo.report.Zone, Rack: wo.report.Rack,
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
-		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance,
-		Suspect: now < wo.suspectUntil,
+		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance && !te.evacuated(wo.report.Zone),
+		Suspect: now < wo.suspectUntil || te.cold(wo, now),
 	}
 	for key := range wo.orphans {
 		if en := te.jobs[key.Job]; en != nil {
--- a/wagtailcroftd/follower/follower.go
+++ b/wagtailcroftd/follower/follower.go
@@ -12,6 +12,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/locker"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
@@ -30,6 +31,18 @@
 		// DecodeWave decodes a maintenance wave. Its second result is false for a row that is
 		// not a maintenance wave.
 		DecodeWave func(row rowstore.Row) (fleet.MaintenanceWave, bool, error)
+		// DecodeEvacuation decodes the request to evacuate an availability zone. Its second result is
+		// false for a row that is no such request. It is nil where no zone is evacuated.
+		DecodeEvacuation func(row rowstore.Row) (identifier.Zone, bool, error)
+		// Zones are the availability zones of the system; none means that they are not known.
+		Zones []identifier.Zone
+		// Metrics counts the evacuations.
+		Metrics Metrics
+	}
+
+	// Metrics counts events.
+	Metrics interface {
+		Count(name, label string)
 	}
 
 	// Follower holds the newest configuration. It never returns to an older version.
@@ -46,6 +59,8 @@
 		confirmedAt clock.Millis
 		// waves holds the maintenance waves by the name of their row.
 		waves map[string]fleet.MaintenanceWave
+		// evacuations holds the evacuated zones. A map is never changed once it is here.
+		evacuations fleet.Evacuations
 	}
 
 	// handler passes the rows of the tailer on to the follower.
@@ -54,7 +69,7 @@
 
 // New returns a follower that reads no configuration until Run.
 func New(so Source, st tailer.Store, cl clock.Clock, log zerolog.Logger) *Follower {
-	return &Follower{waves: map[string]fleet.MaintenanceWave{}, source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
+	return &Follower{evacuations: fleet.Evacuations{}, waves: map[string]fleet.MaintenanceWave{}, source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
 }
 
 // Run follows the configuration until ctx ends.
@@ -78,7 +93,10 @@
 }
 
 // Snapshot applies all rows of the table.
-func (ha handler) Snapshot(rows []rowstore.Row) { ha.Changed(rows) }
+func (ha handler) Snapshot(rows []rowstore.Row) {
+	ha.fo.dropEvacuations(rows)
+	ha.Changed(rows)
+}
 
 // Changed applies changed rows. Older versions of the configuration are ignored.
 func (ha handler) Changed(rows []rowstore.Row) {
@@ -86,7 +104,8 @@
 		switch {
 		case ro.Key == ha.fo.source.Key && ro.Version > 0:
 			ha.fo.Apply(ro)
-		case ro.Key != ha.fo.source.Key:
+		case ro.Key == ha.fo.source.Key || ha.fo.applyEvacuation(ro):
+		default:
 			ha.fo.applyWave(ro)
 		}
 	}
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -87,7 +87,11 @@
 func New(set member.Settings, de Dependencies) *Participant {
 	pa := &Participant{set: set, cl: de.Clock, log: de.Log, metrics: de.Metrics, tracer: de.Tracer}
 	store := instrumenter.NewStore(platform.NewStore(set.StoreAddress, de.Transport), de.Metrics, de.Tracer, de.Clock)
-	pa.follower = follower.New(follower.Source{Key: platform.ConfigKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave}, store, de.Clock, de.Log)
+	source := follower.Source{Key: platform.ConfigKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave, Zones: set.Zones, Metrics: de.Metrics}
+	if set.EvacuateMillis > 0 {
+		source.DecodeEvacuation = platform.DecodeEvacuation
+	}
+	pa.follower = follower.New(source, store, de.Clock, de.Log)
 	pa.intake = intake.New(store, pa.follower, de.Clock, de.Log, intake.Options{ConfigKey: platform.ConfigKey, MaxPolicyAge: set.UnconfirmedMillis, RowLimit: set.RowLimit, Metrics: de.Metrics})
 	deps := controller.Dependencies{
 		Store: store, Workers: instrumenter.NewWorkers(platform.NewWorkers(de.Transport, de.Clock), de.Metrics, de.Tracer), Policies: pa.follower,
@@ -110,7 +114,7 @@
 	deps.Peers = pa.messenger
 	pa.controller = controller.New(deps, controller.Options{
 		Instance: set.Instance, Incarnation: incarnation, Address: set.PeerAddress, LeaseDuration: set.LeaseMillis, TakeoverTimeout: set.TakeoverTimeoutMillis, ElectionDelay: set.ElectionDelayMillis,
-		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis, RowLimit: set.RowLimit,
+		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaxEvacuationAge: set.EvacuateMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis, RowLimit: set.RowLimit,
 	})
 	pa.overseer = overseer.New(overseer.Options{
 		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower, Metrics: de.Metrics,
