--- a/soak/launcher/launcher.go
+++ b/soak/launcher/launcher.go
@@ -53,6 +53,7 @@
 maxHoldMs = 10000
 stopGraceMs = 900
 gangTimeoutMs = 3000
+evacuateMs = 5000
 status_s = 120
 fencingEnforced = true
 leaseMs = 3000
--- a/soak/player/faults.go
+++ b/soak/player/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -41,6 +42,8 @@
 		{"the store is busy", func() { pl.disturbStore(last, relayer.Busy, pl.stores...) }},
 		{"the store is silent for one instance", func() { pl.disturbStore(last*2, relayer.Silent, pl.stores[at]) }},
 		{"the store turns one instance away", func() { pl.disturbStore(last*2, relayer.Busy, pl.stores[at]) }},
+		{"a zone is evacuated and taken back", func() { pl.evacuate(fmt.Sprintf("z%d", worker%2), 2*last) }},
+		{"a zone is evacuated and taken back", func() { pl.evacuate(fmt.Sprintf("z%d", worker%2), 2*last) }},
 		{"the store forgets its history", pl.sr.Store.Compact},
 		{"an instance is paused", func() { pl.pause(at, last) }},
 		{"an instance is paused", func() { pl.pause(at, last) }},
@@ -89,6 +92,15 @@
 	})
 }
 
+// evacuate evacuates a zone for a time. Of two evacuations of a zone, the end of the first one ends both.
+func (pl *play) evacuate(zone string, last time.Duration) {
+	pl.log("row %d evacuates %s", pl.sr.Evacuate(zone), zone)
+	time.AfterFunc(last, func() {
+		pl.sr.TakeBack(zone)
+		pl.log("%s is taken back", zone)
+	})
+}
+
 // pause stops the process of an instance for a time.
 func (pl *play) pause(at int, last time.Duration) {
 	in := pl.instances[at]
--- a/soak/relayer/relayer.go
+++ b/soak/relayer/relayer.go
@@ -13,6 +13,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/locker"
+	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
 )
 
 const (
@@ -141,7 +142,7 @@
 
 // executeLater executes a call that gets no answer, also if the caller gives it up.
 func (re *Relayer) executeLater(rq *http.Request, body []byte, delay clock.Millis) {
-	later := rq.Clone(context.Background())
+	later := rq.Clone(fleet.WithLateDelivery(context.Background()))
 	later.Body = io.NopCloser(bytes.NewReader(body))
 	time.AfterFunc(delay.Duration(), func() {
 		defer func() { _ = recover() }() // the server may close the connection instead of answering
--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -96,7 +96,7 @@
 // New returns a cluster whose runners are up and listed in the store.
 func New(op Options) *Cluster {
 	cl := &Cluster{Store: NewStore(), op: op, jobs: map[string]Job{}, gangs: map[string]*gang{}}
-	cl.oracle = &oracle{cluster: cl, acknowledged: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, lastStart: map[string]start{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}, crashes: map[workload.TaskKey]int{}, startsAfterCrashes: map[workload.TaskKey]int{}}
+	cl.oracle = &oracle{cluster: cl, evacuated: map[string]time.Time{}, startsIn: map[string]int{}, acknowledged: map[string]bool{}, failed: map[string]int{}, failedRun: map[string]int64{}, lastStart: map[string]start{}, cancelled: map[string]time.Time{}, refused: map[string]bool{}, crashes: map[workload.TaskKey]int{}, startsAfterCrashes: map[workload.TaskKey]int{}}
 	cl.Advice = &Advice{cluster: cl, issued: map[string]time.Time{}}
 	cl.machines = &machines{cluster: cl, fences: map[string]int64{}, maintenances: map[string]int{}, waves: map[int64]map[string]bool{}}
 	cl.faults.init()
--- a/standin/fleet/oracle.go
+++ b/standin/fleet/oracle.go
@@ -45,6 +45,10 @@
 		refused map[string]bool
 		// drainingSince maps each draining runner to the time of its report.
 		drainingSince map[*Runner]time.Time
+		// evacuated maps each evacuated zone to the time at which its evacuation was acknowledged to the
+		// operator, and startsIn each zone to the number of runs that were started there.
+		evacuated map[string]time.Time
+		startsIn  map[string]int
 		// crashes is the number of runners that have crashed under each task, and startsAfterCrashes how often
 		// it was started after the tolerated ones.
 		crashes, startsAfterCrashes map[workload.TaskKey]int
--- a/standin/fleet/reports.go
+++ b/standin/fleet/reports.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/wagtailcroft/wagtailcroft/platform/wire"
 )
 
@@ -38,7 +40,7 @@
 		state, remaining = "draining", float64(ru.cluster.op.DrainTime.Milliseconds())
 	}
 	return wire.Entry{
-		Service: Pool, Address: ru.address, Zone: ru.zone, State: state, RemainingMs: remaining,
+		Service: Pool, Address: ru.address, Zone: ru.zone, State: state, RemainingMs: remaining, ColdRemainingMs: float64(max(time.Until(ru.coldUntil), 0).Milliseconds()),
 		Capacity: &wire.Capacity{CPU: int64(ru.capacity.CPU), MemMb: int64(ru.capacity.Memory), Gpu: int32(ru.capacity.Accelerators)},
 		Labels:   []string{"a", ru.rack}, Born: ru.born.UnixMilli(),
 	}
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -39,6 +39,8 @@
 		draining bool
 		// born is the start of the current incarnation.
 		born time.Time
+		// coldUntil is when the runner no longer reports that it is slow.
+		coldUntil time.Time
 		// fence is the highest fencing token seen by this incarnation.
 		fence int64
 		// leaseEnd is when the lease of all runs expires, on the runner's clock. leaseTimer
@@ -216,6 +218,7 @@
 		return
 	}
 	ru.cluster.trace("%s starts %s run %d", ru.id, rs.Task, rs.Run)
+	ru.cluster.oracle.checkEvacuation(rq, ru, rs.Task)
 	ru.cluster.oracle.checkStart(ru, key, rs)
 	ru.startRun(key, rs)
 	reply(wr, http.StatusOK, wire.RunnerReply{ClockMs: ru.clock()})
--- a/wagtailcroftd/participant/fuzz_test.go
+++ b/wagtailcroftd/participant/fuzz_test.go
@@ -26,7 +26,7 @@
 var eventKinds = []string{
 	"submit", "submit", "submit", "submit", "cancel", "kill", "leaderKill", "leaderCut", "stop", "storeDown", "storeBusy", "storeSlow",
 	"storeLosesAnswers", "storeCompact", "lateCommands", "runnerCrash", "runnerCrash", "runnerCut", "runnerReset", "runnerFailing", "runnerRefusing", "runnerDrain", "killAll", "asymmetricCut",
-	"leaderPause", "leaderPauseInGap",
+	"leaderPause", "leaderPauseInGap", "evacuate", "evacuate", "evacuateAll",
 }
 
 type (
@@ -272,6 +272,13 @@
 		heal(func() { ha.cluster.LoseResponses(0) })
 	case "storeCompact":
 		ha.cluster.Store.Compact()
+	case "evacuate", "evacuateAll":
+		for i, zone := range zones {
+			if ev.Kind == "evacuateAll" || i == ev.Index%len(zones) {
+				ha.cluster.Evacuate(zone)
+				heal(func() { ha.cluster.TakeBack(zone) })
+			}
+		}
 	case "lateCommands":
 		ha.cluster.DelayCommands(0.4)
 		heal(func() { ha.cluster.DelayCommands(0) })
--- a/wagtailcroftd/participant/harness_test.go
+++ b/wagtailcroftd/participant/harness_test.go
@@ -45,9 +45,14 @@
 	maxPolls = 2944
 )
 
-// scenarioLog collects the log of the instances of the current scenario if the environment
-// variable SCENE_LOG is set.
-var scenarioLog syncBuffer
+var (
+	// zones are the availability zones of the stand-in.
+	zones = []string{"z0", "z1"}
+
+	// scenarioLog collects the log of the instances of the current scenario if the environment
+	// variable SCENE_LOG is set.
+	scenarioLog syncBuffer
+)
 
 type (
 	// harness runs instances against a simulated cluster in a testing/synctest bubble.
@@ -158,6 +163,7 @@
 		AdviceAddress: fleet.AdviceAddress, MachinesAddress: fleet.MachinesAddress, LeadershipLeaseMillis: 3000,
 		PeerAddress: name, ElectionDelayMillis: ha.electionDelays[name], LeaseMillis: clock.FromDuration(leaseTime), TakeoverTimeoutMillis: clock.FromDuration(takeoverTimeout),
 		UnconfirmedMillis: 3750, GraceMillis: 4800, RetentionMillis: 240_000, StopGraceMillis: 900, GangTimeoutMillis: 3000, MaxPolls: ha.maxPolls, RowLimit: 65_536,
+		EvacuateMillis: 4000, Zones: []identifier.Zone{identifier.Zone(zones[0]), identifier.Zone(zones[1])},
 	}, participant.Dependencies{Clock: clock.NewRuntime(), Log: instanceLogger(name), Metrics: instrumenter.New(), Transport: ha.cluster.Transport(name), Tracer: tracer.Nop(), Dial: ha.peers.dial,
 		LeadershipChanged: func(leading bool) { ha.leads.Store(name, leading) }})
 	ln := ha.peers.listen(name)
