Release leadership in the transaction that records the last changes

Change: the last transaction of the flush also holds the released row of the leadership. If nothing is to be recorded, or the flush did not get through, the elector releases as before. A conflict of a job's row or a row that the store refuses keeps out neither the other rows nor the release.

--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -58,14 +58,20 @@
 		worker *worker
 	}
 
+	// extras is what a transaction writes beside the rows of jobs.
+	extras struct {
+		// renew means that the leadership is renewed, release that it is released; never both.
+		renew, release bool
+		// counts are the pending-job counts to write; nil means none.
+		counts map[string]int
+	}
+
 	// write is a transaction that is being written, possibly in several tries.
 	write struct {
+		extras
 		changes []change
-		// renew means that the leadership is renewed; next is the new content of its row.
-		renew bool
-		next  ledger.Leader
-		// counts are the pending-job counts to write; nil means none.
-		counts map[string]int
+		// next is the new content of the row of the leadership, if it is renewed or released.
+		next ledger.Leader
 		// first is when the first try was sent, sent when the last one was.
 		first, sent clock.Millis
 	}
@@ -171,17 +177,21 @@
 }
 
 // commit records a batch. It returns false when the term is over. Changes that were rejected
-// because of a conflict are retried in the next round.
-func (te *term) commit(ba batch) bool {
-	rest, counts, renew, renewed := ba.changes, ba.counts, te.renewalDue(), false
-	for len(rest) > 0 || counts != nil || renew {
+// because of a conflict are retried in the next round. With release, the last transaction of the batch also
+// releases the leadership.
+func (te *term) commit(ba batch, release bool) bool {
+	rest, ex, renewed := ba.changes, extras{counts: ba.counts, renew: te.renewalDue()}, false
+	for len(rest) > 0 || ex.counts != nil || ex.renew {
 		part, left := split(rest)
-		ok := te.writeChanges(part, renew, counts)
-		rest, counts, renewed = left, nil, renewed || renew
+		if release && len(left) == 0 {
+			ex.renew, ex.release = false, true
+		}
+		ok := te.writeChanges(part, ex)
+		rest, renewed = left, renewed || ex.renew
 		// A write that an outage has held up is followed by a renewal at once, before a standby takes
 		// over. A round with nothing left ends after one renewal, even if a commit takes as long as
 		// the interval.
-		renew = (len(rest) > 0 || !renewed) && te.renewalDue()
+		ex = extras{renew: !ex.release && (len(rest) > 0 || !renewed) && te.renewalDue()}
 		if !ok {
 			te.keepUnrecorded(ba)
 			return false
@@ -194,8 +204,10 @@
 	return true
 }
 
-// flush records what is known when this instance is stopped, before it releases leadership: nobody asks a
-// leader that has released it. The calls of the term have returned. ctx limits the time.
+// flush records what is known when this instance is stopped, and releases leadership in the same transaction:
+// nobody asks a leader that has released it, and each transaction before delays the next leader. If nothing is
+// to be recorded, or it could not be, leadership is not released yet. The calls of the term have returned. ctx
+// limits the time.
 func (te *term) flush(ctx context.Context) {
 	te.ctx, te.cancel = te.Clock.WithTimeout(ctx, elector.WriteTimeout)
 	defer te.cancel()
@@ -203,7 +215,7 @@
 		te.mu.Lock()
 		ba := te.batch()
 		te.mu.Unlock()
-		if len(ba.changes) == 0 || !te.commit(ba) {
+		if len(ba.changes) == 0 || !te.commit(ba, true) || te.released {
 			return
 		}
 	}
@@ -224,18 +236,14 @@
 
 // writeChanges records changes under the fencing token, except those that a conflict or a refusal keeps
 // out. It returns false if the term is over.
-func (te *term) writeChanges(changes []change, renew bool, counts map[string]int) bool {
-	wr := &write{changes: changes, renew: renew, next: te.leadership.Leader(), counts: counts, first: te.Clock.Now()}
+func (te *term) writeChanges(changes []change, ex extras) bool {
+	wr := &write{extras: ex, changes: changes, next: te.nextLeader(ex), first: te.Clock.Now()}
 	tr := rowstore.Transaction{Preconditions: []rowstore.Precondition{{Key: recorder.LeadershipKey, Version: te.leadership.Version()}}}
-	if renew {
-		wr.next.Renewals++
-		te.mu.Lock()
-		te.attempted, wr.next.Formers = wr.next.Renewals, te.formers
-		te.mu.Unlock()
+	if ex.renew || ex.release {
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.LeadershipKey, Value: recorder.Encode(wr.next)})
 	}
-	if counts != nil {
-		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.PendingCountsKey, Value: recorder.Encode(ledger.PendingCounts{Queues: counts})})
+	if ex.counts != nil {
+		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.PendingCountsKey, Value: recorder.Encode(ledger.PendingCounts{Queues: ex.counts})})
 	}
 	for i := range changes {
 		tr.Add(changes[i].tr)
@@ -262,15 +270,30 @@
 			clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
 		default:
 			te.log.Error().Err(err).Int("jobs", len(changes)).Msg("commitRejected")
-			return te.isolate(changes, renew, counts)
+			return te.isolate(changes, ex)
 		}
 	}
 	return false
 }
 
+// nextLeader returns the row of the leadership after a transaction that renews or releases it.
+func (te *term) nextLeader(ex extras) ledger.Leader {
+	next := te.leadership.Leader()
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	switch {
+	case ex.renew:
+		next.Renewals++
+		te.attempted, next.Formers = next.Renewals, te.formers
+	case ex.release:
+		next.Instance, next.Formers = "", te.formers
+	}
+	return next
+}
+
 // isolate records the changes of a transaction that the store has refused in smaller ones, so that a row
 // that it does not accept keeps out no other. Such a row is written again after a pause.
-func (te *term) isolate(changes []change, renew bool, counts map[string]int) bool {
+func (te *term) isolate(changes []change, ex extras) bool {
 	switch len(changes) {
 	case 0:
 		te.loseLeadership("the store rejected a transaction")
@@ -282,10 +305,10 @@
 		te.mu.Unlock()
 		te.Metrics.Count("records", "refused")
 		te.log.Error().Str("job", string(en.job.ID)).Int("bytes", len(changes[0].value)).Msg("jobRowRefused")
-		return !renew && counts == nil || te.writeChanges(nil, renew, counts)
+		return !ex.renew && !ex.release && ex.counts == nil || te.writeChanges(nil, ex)
 	}
 	half := len(changes) / 2
-	return te.writeChanges(changes[:half], renew, counts) && te.writeChanges(changes[half:], false, nil)
+	return te.writeChanges(changes[:half], extras{renew: ex.renew, counts: ex.counts}) && te.writeChanges(changes[half:], extras{release: ex.release})
 }
 
 // markRecorded updates the state of the term after a write that took effect at a time or later.
@@ -302,6 +325,10 @@
 			notify(te.dispatchTrigger)
 		}
 	}
+	if wr.release {
+		te.released = true
+		te.log.Info().Int("jobs", len(wr.changes)).Msg("leadershipReleased")
+	}
 	if wr.counts != nil {
 		te.pendingCounts = wr.counts
 	}
@@ -348,10 +375,11 @@
 
 // tookEffect reports whether the rows are as the transaction would have left them.
 func (te *term) tookEffect(wr *write, co *rowstore.ConflictError) bool {
-	if wr.renew && !bytes.Equal(co.Row(recorder.LeadershipKey).Value, recorder.Encode(wr.next)) {
+	written := wr.renew || wr.release
+	if written && !bytes.Equal(co.Row(recorder.LeadershipKey).Value, recorder.Encode(wr.next)) {
 		return false
 	}
-	if !wr.renew && co.Row(recorder.LeadershipKey).Version != te.leadership.Version() {
+	if !written && co.Row(recorder.LeadershipKey).Version != te.leadership.Version() {
 		return false
 	}
 	for i := range wr.changes {
--- a/wagtailcroftd/controller/commit_test.go
+++ b/wagtailcroftd/controller/commit_test.go
@@ -59,7 +59,7 @@
 		te.mu.Lock()
 		ba := te.batch()
 		te.mu.Unlock()
-		return te.commit(ba)
+		return te.commit(ba, false)
 	}
 	for name, refused := range map[string][]int{"the first": {0}, "one between": {3}, "two": {2, 5}, "the last": {6}} {
 		t.Run("all other rows are written: "+name, func(t *testing.T) {
@@ -90,7 +90,7 @@
 	t.Run("a refused renewal ends the term", func(t *testing.T) {
 		play(t, nil, func(te *term, st *pickyStore) {
 			st.refused = []rowstore.Key{recorder.LeadershipKey}
-			asserter.Equal(t, te.writeChanges(nil, true, nil), false)
+			asserter.Equal(t, te.writeChanges(nil, extras{renew: true}), false)
 			asserter.Equal(t, te.lost.Load(), true)
 		})
 	})
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -246,7 +246,8 @@
 }
 
 // Run takes part in elections and schedules as the leader until ctx ends. Then it releases the
-// leadership, unless another instance may already be the leader; last limits the time for that.
+// leadership, unless another instance may already be the leader; last limits the time for that. What this
+// instance still knows is recorded in the same transaction.
 func (co *Controller) Run(ctx, last context.Context) {
 	// The number of attempts of a task depends on the configuration, so there is nothing to
 	// decide before the first one is known.
@@ -280,7 +281,7 @@
 		co.unrecordedEnds.Store(&ends)
 		co.end(te)
 		co.reportLeadership(false)
-		if ctx.Err() != nil && !te.lost.Load() {
+		if ctx.Err() != nil && !te.lost.Load() && !te.released {
 			el.Release(last)
 		}
 	}
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -101,7 +101,7 @@
 		te, st := newTestTerm(t)
 		st.cl.Advance(500)
 		sent := st.cl.Now()
-		ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, extras{renew: true})
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.changeBy(), sent+elector.ExclusivePeriod)
 	})
@@ -109,7 +109,7 @@
 		te, st := newTestTerm(t)
 		sent := st.cl.Now()
 		st.lost = 1
-		ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, extras{renew: true})
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.renewedAt, sent)
 		asserter.Equal(t, st.cl.Now() >= te.changeBy(), true)
@@ -118,7 +118,7 @@
 		te, _ := newTestTerm(t)
 		te.transferEndsAt = te.attempted + 1
 		asserter.Equal(t, te.changeBy(), 0)
-		ok := te.writeChanges(nil, true, nil)
+		ok := te.writeChanges(nil, extras{renew: true})
 		asserter.Equal(t, ok, true)
 		asserter.Equal(t, te.changeBy() > 0, true)
 	})
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -44,7 +44,7 @@
 		ba := te.batch()
 		te.mu.Unlock()
 		planned := te.Clock.Now() - started
-		if !te.commit(ba) {
+		if !te.commit(ba, false) {
 			return
 		}
 		te.lastRound = roundTiming{plan: planned, record: te.Clock.Now() - started - planned, jobs: len(ba.changes)}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -74,6 +74,9 @@
 		formers      []ledger.FormerLeader
 		// lost is set once, before the term ends, when another instance may be the leader.
 		lost atomic.Bool
+		// released means that leadership was released together with the last changes. Only flush and what
+		// follows it use it.
+		released bool
 
 		// mu guards the fields below. It is not held during a call to another process.
 		mu locker.Mutex
