--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -70,6 +70,10 @@
 		Current() *policy.Policy
 		// Waves lists the maintenance waves that operators have requested.
 		Waves() []fleet.MaintenanceWave
+		// ConfirmedAt is the time up to which Evacuations is known to be complete.
+		ConfirmedAt() clock.Millis
+		// Evacuations holds the availability zones in which no run may be started.
+		Evacuations() fleet.Evacuations
 	}
 
 	// Clock also tells the time of day, at which repeated jobs become due.
@@ -108,6 +112,9 @@
 		StopGrace clock.Millis
 		// GangTimeout is how long a member of a gang waits on its worker for the other members.
 		GangTimeout clock.Millis
+		// MaxEvacuationAge is how long after the last confirmation of the evacuations a start may leave; 0
+		// means that no zone is evacuated.
+		MaxEvacuationAge clock.Millis
 		// MaintenanceDelay is how long a new leader waits before it sends commands to machines.
 		MaintenanceDelay clock.Millis
 		// MaxPolls is how many workers may be polled at the same time. A poll holds a connection
@@ -239,7 +246,8 @@
 }
 
 // Run takes part in elections and schedules as the leader until ctx ends. Then it releases the
-// leadership, unless another instance may already be the leader; last limits the time for that.
+// leadership, unless another instance may already be the leader; last limits the time for that. What this
+// instance still knows is recorded in the same transaction.
 func (co *Controller) Run(ctx, last context.Context) {
 	// The number of attempts of a task depends on the configuration, so there is nothing to
 	// decide before the first one is known.
@@ -273,7 +281,7 @@
 		co.unrecordedEnds.Store(&ends)
 		co.end(te)
 		co.reportLeadership(false)
-		if ctx.Err() != nil && !te.lost.Load() {
+		if ctx.Err() != nil && !te.lost.Load() && !te.released {
 			el.Release(last)
 		}
 	}
