Place work by the speeds of the workers

Change: a worker has a factor on run times (planner.Worker.Factor), which the controller learns at the ends and polls of runs. Tasks cost what their job is expected to lose against its objective there, gangs what they lose at the pace of their slowest member, by comparing sets of workers up to each pace. Work that is not urgent leaves workers that meet urgent objectives where its own objective allows. Run times are learned as those on a normal worker. Recorded plans are as before (TestRecordedPlans).

--- a/decisions/planner/cost.go
+++ b/decisions/planner/cost.go
@@ -44,7 +44,7 @@
 		cost += suspectMillis
 	}
 	cost += isolationMillis * isolation(ca, sl)
-	return cost + ro.ruleCost(ca, sl)
+	return cost + ro.paceCost(ca, sl) + ro.ruleCost(ca, sl)
 }
 
 // ruleCost returns the cost of a worker by the rules of the input.
@@ -65,9 +65,9 @@
 	}
 	cost += ro.separation(ca, group[0]) * float64(len(group))
 	for _, sl := range found {
-		cost += ro.ruleCost(ca, sl)
+		cost += ro.ruleCost(ca, sl) + ro.paceCost(ca, sl)
 	}
-	return cost
+	return cost + gangCost(ca, found)
 }
 
 // remainder answers fragmented fleets: it is the cost of the room that is left free on a worker.
--- a/decisions/planner/order.go
+++ b/decisions/planner/order.go
@@ -36,17 +36,11 @@
 	if ca.queue.SlowdownFactor == 0 {
 		return onTime, 0
 	}
-	var total, remaining clock.Millis
+	total, remaining := ro.chain(ca)
 	work := 0.0
 	for i := range ca.job.Steps {
 		step := &ca.job.Steps[i]
-		ran := ro.expected(ca.job, i)
-		work += coresOf(step.Request) * float64(step.Count) * float64(ran)
-		ran *= clock.Millis(ro.waves(ca, step))
-		total += ran
-		if i >= ca.stage.Step {
-			remaining += ran
-		}
+		work += coresOf(step.Request) * float64(step.Count) * float64(ro.expected(ca.job, i))
 	}
 	objective := clock.Millis(ca.queue.SlowdownFactor*float64(total)) + ca.queue.Objective
 	ends := ro.in.WaitTime(ca.job.ID) + remaining
@@ -59,6 +53,18 @@
 	return overdue, work
 }
 
+// chain returns the expected run time of all steps of the candidate's job, and of those from its stage on.
+func (ro *round) chain(ca candidate) (total, remaining clock.Millis) {
+	for i := range ca.job.Steps {
+		ran := ro.expected(ca.job, i) * clock.Millis(ro.waves(ca, &ca.job.Steps[i]))
+		total += ran
+		if i >= ca.stage.Step {
+			remaining += ran
+		}
+	}
+	return total, remaining
+}
+
 // expected returns the expected run time of a task of a step.
 func (ro *round) expected(jo *workload.Job, step int) clock.Millis {
 	if ro.in.ExpectedRunTime == nil {
--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"math"
+
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
@@ -52,13 +54,25 @@
 // pack chooses a slot for each task by best fit. It returns nil if the tasks do not all
 // fit.
 func (ro *round) pack(ca candidate, slots []*slot, count int, view func(*slot) workload.Resources) []*slot {
+	if ca.pace.ran > 0 && ca.step.Gang && count > 1 {
+		return ro.packGang(ca, slots, count, view)
+	}
+	found, _ := ro.packSlots(ca, slots, count, view, math.MaxFloat64)
+	return found
+}
+
+// packSlots chooses a slot for each task among those with a factor of at most most, and returns their cost.
+func (ro *round) packSlots(ca candidate, slots []*slot, count int, view func(*slot) workload.Resources, most float64) ([]*slot, float64) {
 	req := ca.step.Reserved()
+	total := 0.0
 	left := make([]workload.Resources, len(slots))
 	spread := make([]int, len(slots))
 	fixed := make([]float64, len(slots))
 	for i, sl := range slots {
 		left[i] = view(sl)
-		spread[i] = spreadLeft(ca, sl)
+		if sl.worker.factor() <= most {
+			spread[i] = spreadLeft(ca, sl)
+		}
 		fixed[i] = ro.fixedCost(ca, sl)
 	}
 	found := make([]*slot, 0, count)
@@ -74,13 +88,14 @@
 			}
 		}
 		if best < 0 {
-			return nil
+			return nil, 0
 		}
+		total += lowest
 		left[best] = left[best].Sub(req)
 		spread[best]--
 		found = append(found, slots[best])
 	}
-	return found
+	return found, total
 }
 
 // spreadLeft returns how many more tasks of the candidate's stage the worker may run.
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -34,6 +34,8 @@
 		Usable bool
 		// Suspect means that the worker is used only if no other worker fits.
 		Suspect bool
+		// Factor multiplies the run times of tasks on the worker; 1 is normal, and 0 means that it is not known.
+		Factor float64
 	}
 
 	// Queue holds the scheduling parameters of a queue.
@@ -157,6 +159,8 @@
 		// within its group. In both, the lower value comes first.
 		group   lateness
 		sortKey float64
+		// pace is what the job loses on slow workers.
+		pace pace
 	}
 )
 
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -53,6 +53,10 @@
 		// freeCounts holds, for each pool, the number of usable slots by the number of
 		// their accelerators that are free once all stopping runs have ended.
 		freeCounts map[identifier.Pool][]int
+		// uneven means that some workers are known to be faster than others, and tightest holds, for each
+		// pool, the least slowdown that urgent work allows.
+		uneven   bool
+		tightest map[identifier.Pool]float64
 		// starts is the number of tasks that the plan starts.
 		starts int
 		// full means that work below priority 0 has found the limit of starts reached, and allFull that
@@ -116,6 +120,9 @@
 			ro.occupy(run{job: jo, stage: st, index: index, rank: rank}, ta)
 		})
 	}
+	if ro.uneven = isUneven(in.Workers); ro.uneven {
+		ro.tightest = tightestObjectives(in)
+	}
 	for _, sl := range ro.slots {
 		if sl.worker.Usable {
 			ro.accelerators[sl.worker.Pool] += sl.worker.Capacity.Accelerators
@@ -220,6 +227,7 @@
 		return false
 	}
 	slots := ro.allowed(ca, indexes)
+	ca.pace = ro.paceOf(ca)
 	if !cannotFit {
 		if found := ro.find(ca, slots, len(indexes), freeNow); found != nil {
 			if !ro.leavesHeadroom(ca, len(indexes)) || !ro.mayStart(ca, len(indexes)) {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -222,6 +222,7 @@
 		}
 		confirmStart(en, pl, ta, now)
 	}
+	te.gaugeProgress(wo, ru.Task, pl, now)
 }
 
 // confirmStart records that a worker has started a run.
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -106,6 +106,7 @@
 		}
 		if !wo.listed && len(wo.runs)+len(wo.orphans) == 0 && wo.applied == wo.acknowledged && !wo.polling {
 			te.Workers.Forget(wo.report.Address)
+			te.gauger.Forget(wo.id)
 			delete(te.workers, wo.id)
 		}
 	}
@@ -215,6 +216,7 @@
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
 		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance,
 		Suspect: now < wo.suspectUntil,
+		Factor:  te.factorOf(wo, now),
 	}
 	for key := range wo.orphans {
 		if en := te.jobs[key.Job]; en != nil {
--- /dev/null
+++ b/wagtailcroftd/controller/speeds.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
+	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+// completeProgress is the progress of a run that has done all its work.
+const completeProgress = 100 * meter.Percent(1)
+
+// origin is from where the progress of a run is counted, because its start is not known.
+type origin struct {
+	at      clock.Millis
+	percent meter.Percent
+}
+
+// gaugeProgress learns the speed of a worker from the progress of a run.
+func (te *term) gaugeProgress(wo *worker, key workload.TaskKey, pl *placement, now clock.Millis) {
+	jo, st, ta := te.gaugedTask(wo, key, pl)
+	if ta == nil {
+		return
+	}
+	ru := te.gaugedRun(wo, key, jo, pl.run)
+	ru.Percent = ta.Progress
+	if pl.inherited {
+		if pl.origin.at == 0 {
+			pl.origin = origin{at: now, percent: ta.Progress}
+		}
+		if ta.Progress < completeProgress {
+			ru.Percent, ru.Elapsed = ta.Progress-pl.origin.percent, now-pl.origin.at
+			te.gauger.Record(ru, now)
+		}
+		return
+	}
+	if began := te.beganAt(jo, st, pl); began > 0 {
+		ru.Elapsed = now - began
+		te.gauger.Record(ru, now)
+	}
+}
+
+// gaugeCompletion learns the speed of a worker from a run that is done. The members of a gang end together,
+// at the pace of the slowest, so that their end tells nothing of each.
+func (te *term) gaugeCompletion(wo *worker, key workload.TaskKey, pl *placement, now clock.Millis) {
+	jo, st, ta := te.gaugedTask(wo, key, pl)
+	if ta == nil || pl.inherited || jo.StepOf(st).Gang && len(st.Tasks) > 1 {
+		return
+	}
+	ru := te.gaugedRun(wo, key, jo, pl.run)
+	ru.Percent, ru.Elapsed, ru.Done = completeProgress, now-pl.startedAt, true
+	te.gauger.Record(ru, now)
+}
+
+// gaugedTask returns the task of a run that nothing slows down but its worker, as far as is known; otherwise
+// the task is nil.
+func (te *term) gaugedTask(wo *worker, key workload.TaskKey, pl *placement) (*workload.Job, *workload.Stage, *workload.Task) {
+	en := te.jobs[key.Job]
+	if en == nil || pl == nil || pl.startedAt == 0 || pl.resumed || pl.speed != throttler.FullSpeed || pl.incarnation != wo.told {
+		return nil, nil, nil
+	}
+	if pl.tries != 1 && !pl.inherited || wo.mixedLoad || wo.failureStreakRuns > 0 {
+		return nil, nil, nil
+	}
+	st, ta := en.job.Task(key)
+	if ta == nil {
+		return nil, nil, nil
+	}
+	step := en.job.StepOf(st)
+	if step.LongRunning || step.BestEffort || step.DataRack != "" && step.DataRack != wo.report.Rack || step.SameRack && te.racksOf(st) > 1 {
+		return nil, nil, nil
+	}
+	return en.job, st, ta
+}
+
+func (te *term) gaugedRun(wo *worker, key workload.TaskKey, jo *workload.Job, run meter.RunNumber) gauger.Run {
+	step := &jo.Steps[key.Step]
+	return gauger.Run{Task: key, Number: run, Queue: jo.Queue, Image: step.Image, Estimate: step.Estimate, Worker: wo.id, Incarnation: wo.told}
+}
+
+// beganAt returns when a run has begun to work: a gang does when all its members have started. It is 0 if
+// that is not known.
+func (te *term) beganAt(jo *workload.Job, st *workload.Stage, pl *placement) clock.Millis {
+	if !jo.StepOf(st).Gang {
+		return pl.startedAt
+	}
+	began := pl.startedAt
+	for i := range st.Tasks {
+		wo := te.workers[st.Tasks[i].Worker]
+		if wo == nil {
+			return 0
+		}
+		other := wo.runs[jo.Key(st, i)]
+		if other == nil || other.startedAt == 0 {
+			return 0
+		}
+		began = max(began, other.startedAt)
+	}
+	return began
+}
+
+// racksOf counts the racks on which the tasks of a stage have runs, up to 2.
+func (te *term) racksOf(st *workload.Stage) int {
+	count, first := 0, st.Tasks[0].Worker
+	for i := range st.Tasks {
+		wo, of := te.workers[st.Tasks[i].Worker], te.workers[first]
+		if wo == nil || of == nil || !st.Tasks[i].Held() {
+			continue
+		}
+		if count = max(count, 1); wo.report.Rack != of.report.Rack {
+			return 2
+		}
+	}
+	return count
+}
+
+// factorOf returns by what a worker multiplies run times; 1 if that is not known.
+func (te *term) factorOf(wo *worker, now clock.Millis) float64 {
+	return te.gauger.Gauge(wo.id, wo.report.Incarnation, now).Factor
+}
+
+// normalRunTime returns how long a run would have taken on a normal worker. A gang takes the pace of its
+// slowest member.
+func (te *term) normalRunTime(jo *workload.Job, st *workload.Stage, wo *worker, ran, now clock.Millis) clock.Millis {
+	factor := te.factorOf(wo, now)
+	if jo.StepOf(st).Gang {
+		for i := range st.Tasks {
+			if other := te.workers[st.Tasks[i].Worker]; other != nil {
+				factor = max(factor, te.factorOf(other, now))
+			}
+		}
+	}
+	if factor == 1 {
+		return ran
+	}
+	return clock.Millis(float64(ran) / factor)
+}
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -88,6 +89,8 @@
 		advice *adviser.Adviser
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
+		// gauger knows the speeds of the workers.
+		gauger *gauger.Gauger
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
 		pacer       *pacer.Pacer
@@ -185,6 +188,7 @@
 		workers:         map[identifier.Worker]*worker{},
 		advice:          adviser.New(),
 		predictor:       predictor.New(),
+		gauger:          gauger.New(),
 		pacer:           pacer.New(co.op.GangTimeout / pacePerGangTimeout),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
 		silences:        map[string]*silence{},
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -145,6 +145,8 @@
 		throttling bool
 		// tailLatency is the tail latency that the run last reported.
 		tailLatency clock.Millis
+		// origin is set if the run is inherited and its worker has reported its progress.
+		origin origin
 		// stoppedAt is when the worker accepted a stop command; 0 means not yet.
 		stoppedAt clock.Millis
 	}
@@ -328,7 +330,11 @@
 	te.Metrics.Count("ends", co.Outcome.String())
 	te.trackFailures(wo, key.Job, co.Outcome)
 	if step := en.job.StepOf(st); co.Outcome == workload.OutcomeDone && pl != nil && pl.startedAt > 0 && !pl.resumed && !step.LongRunning {
-		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.Clock.Now()-pl.startedAt)
+		now := te.Clock.Now()
+		if pl.run == co.Run {
+			te.gaugeCompletion(wo, key, pl, now)
+		}
+		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.normalRunTime(en.job, st, wo, now-pl.startedAt, now))
 	}
 	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("how", co.Outcome.String()).Str("proof", string(proof)).
 		Int64("life", int64(ta.Incarnation)).Int64("told", int64(wo.told)).Int64("silentMillis", int64(te.Clock.Now()-wo.clockAt)).
