Count unknown workers as doubtful where workers differ

Cause: urgent gangs of whole workers went to workers of which nothing was known, and many of these are slow; a rack was chosen by its free room, because the loss of one job weighed less than the room of eight workers. Change: a worker's factor comes with its deviation where the fleet is uneven, and costs count one deviation more; each member of a gang loses what the job loses. runScheduled names the factor, loadReported the number of workers known to be uneven.

--- a/decisions/gauger/estimate.go
+++ b/decisions/gauger/estimate.go
@@ -31,10 +31,10 @@
 	// contrast is the mean of what was predicted and seen of the runs of a step, or of the steps of a kind.
 	contrast struct{ count, predicted, seen float64 }
 
-	// level is the sum of what is known of so many workers.
+	// level is the sum, and the sum of the squares, of what is known of so many workers.
 	level struct {
-		sum   float64
-		count int
+		sum, square float64
+		count       int
 	}
 )
 
@@ -95,11 +95,18 @@
 // mean returns what the factors of all workers have in common, which says nothing of any of them.
 func (le *level) mean() float64 { return le.sum / float64(le.count+levelPrior) }
 
+// deviation returns the standard deviation between workers.
+func (le *level) deviation() float64 {
+	mean, count := le.mean(), float64(le.count+levelPrior)
+	return math.Sqrt(max((le.square+levelPrior*spread*spread)/count-mean*mean, minEffect*minEffect))
+}
+
 // add counts a worker, unless it has turned.
 func (le *level) add(re *record) {
 	if re.turnedUntil == 0 {
 		re.counted, re.counts = re.known.mean, true
 		le.sum += re.counted
+		le.square += re.counted * re.counted
 		le.count++
 	}
 }
@@ -108,6 +115,7 @@
 	if re.counts {
 		re.counts = false
 		le.sum -= re.counted
+		le.square -= re.counted * re.counted
 		le.count--
 	}
 }
--- a/decisions/gauger/gauger.go
+++ b/decisions/gauger/gauger.go
@@ -312,7 +312,7 @@
 func (ga *Gauger) Gauge(id identifier.Worker, incarnation workload.Incarnation, now clock.Millis) Gauge {
 	re := ga.workers[id]
 	if re == nil || re.incarnation != incarnation || re.at == 0 {
-		return Gauge{Factor: 1, Deviation: spread}
+		return Gauge{Factor: 1, Deviation: ga.level.deviation()}
 	}
 	known, hasTurned := re.known, re.turnedUntil > now
 	if re.turnedUntil > 0 && !hasTurned {
@@ -326,6 +326,9 @@
 	return out
 }
 
+// Uneven reports whether workers certainly differ.
+func (ga *Gauger) Uneven() bool { return ga.evidence.differ() }
+
 // Forget forgets a worker.
 func (ga *Gauger) Forget(id identifier.Worker) {
 	if re := ga.workers[id]; re != nil {
--- a/decisions/planner/pace.go
+++ b/decisions/planner/pace.go
@@ -39,6 +39,10 @@
 	return wo.Factor
 }
 
+// doubtful returns the factor that the worker is not expected to exceed by much. A worker of which little is
+// known may be slow, and a gang waits for the slowest of many.
+func (wo *Worker) doubtful() float64 { return wo.factor() * math.Exp(wo.Deviation) }
+
 // RunTime returns the expected run time of a task of a step on a worker.
 func (in *Input) RunTime(jo *workload.Job, step int, wo *Worker) clock.Millis {
 	ran := jo.Steps[step].Estimate
@@ -50,7 +54,7 @@
 
 // isUneven reports whether some workers are known to be faster than others.
 func isUneven(workers []Worker) bool {
-	return slices.ContainsFunc(workers, func(wo Worker) bool { return wo.factor() != 1 })
+	return slices.ContainsFunc(workers, func(wo Worker) bool { return wo.doubtful() != 1 })
 }
 
 // paceOf answers urgent work on uneven workers: it returns what the candidate loses on slow ones.
@@ -103,7 +107,7 @@
 	}
 	cost := ro.reserveCost(ca, sl)
 	if !ca.step.Gang {
-		cost += ca.pace.millis(sl.worker.factor())
+		cost += ca.pace.millis(sl.worker.doubtful())
 	}
 	return cost
 }
@@ -112,10 +116,10 @@
 // own objective leaves the time.
 func (ro *round) reserveCost(ca candidate, sl *slot) float64 {
 	tightest := ro.tightest[ca.queue.Pool]
-	if ca.queue.Priority == 0 || tightest == 0 || sl.worker.factor() == 1 {
+	if ca.queue.Priority == 0 || tightest == 0 || sl.worker.doubtful() == 1 {
 		return 0
 	}
-	return reserveMillis * (meets(tightest, sl.worker.factor()) - meets(tightest, 1))
+	return reserveMillis * (meets(tightest, sl.worker.doubtful()) - meets(tightest, 1))
 }
 
 // meets returns how likely work meets an objective of so many times its run time on a worker of a factor.
@@ -123,18 +127,18 @@
 	return normal(math.Log(slowdown/factor) / runSpread)
 }
 
-// gangCost returns what the gang loses at the pace of its slowest member.
+// gangCost returns what the members of a gang lose at the pace of the slowest.
 func gangCost(ca candidate, found []*slot) float64 {
 	if ca.pace.ran <= 0 || !ca.step.Gang {
 		return 0
 	}
-	return ca.pace.millis(slowest(found))
+	return float64(len(found)) * ca.pace.millis(slowest(found))
 }
 
 func slowest(slots []*slot) float64 {
 	most := 0.0
 	for _, sl := range slots {
-		most = max(most, sl.worker.factor())
+		most = max(most, sl.worker.doubtful())
 	}
 	return most
 }
@@ -160,7 +164,7 @@
 func pacesOf(slots []*slot) []float64 {
 	factors := make([]float64, 0, len(slots))
 	for _, sl := range slots {
-		factors = append(factors, sl.worker.factor())
+		factors = append(factors, sl.worker.doubtful())
 	}
 	slices.Sort(factors)
 	var paces []float64
--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -70,7 +70,7 @@
 	fixed := make([]float64, len(slots))
 	for i, sl := range slots {
 		left[i] = view(sl)
-		if sl.worker.factor() <= most {
+		if sl.worker.doubtful() <= most {
 			spread[i] = spreadLeft(ca, sl)
 		}
 		fixed[i] = ro.fixedCost(ca, sl)
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -36,6 +36,9 @@
 		Suspect bool
 		// Factor multiplies the run times of tasks on the worker; 1 is normal, and 0 means that it is not known.
 		Factor float64
+		// Deviation is the standard deviation of the logarithm of the factor; 0 where nothing shows that
+		// workers differ.
+		Deviation float64
 	}
 
 	// Queue holds the scheduling parameters of a queue.
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -216,8 +216,8 @@
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
 		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance,
 		Suspect: now < wo.suspectUntil,
-		Factor:  te.factorOf(wo, now),
 	}
+	te.addSpeed(&pw, now)
 	for key := range wo.orphans {
 		if en := te.jobs[key.Job]; en != nil {
 			if st, _ := en.job.Task(key); st != nil {
@@ -240,8 +240,11 @@
 	passes, used := te.passes, clock.ProcessorTime()-te.processorTime
 	te.passes, te.processorTime = passTiming{}, te.processorTime+used
 	var free workload.Resources
-	usable := 0
+	usable, uneven := 0, 0
 	for _, wo := range in.Workers {
+		if wo.Factor != 1 {
+			uneven++
+		}
 		if wo.Usable {
 			usable++
 			free = free.Add(wo.Capacity)
@@ -267,7 +270,7 @@
 		}
 	}
 	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int("blocked", blocked).Int64("wanted", int64(wanted)).Int("held", held).
-		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
+		Int("workers", len(in.Workers)).Int("usable", usable).Int("uneven", uneven).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
 		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
 		Int64("planMillis", int64(te.lastRound.plan)).Int64("recordMillis", int64(te.lastRound.record)).Int("recorded", te.lastRound.jobs).
@@ -290,7 +293,7 @@
 		key := st.Job.Key(st.Stage, pl.Index)
 		te.workers[pl.Worker].runs[key] = &placement{run: run, incarnation: pl.Incarnation, dueSince: now, speed: throttler.FullSpeed}
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
-			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
+			Float64("factor", te.factorOf(te.workers[pl.Worker], now)).Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
 	}
 	if run == 1 {
 		te.Metrics.Observe("wait", now-te.jobs[st.Job.ID].learnedAt)
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
+	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -115,6 +116,15 @@
 	return count
 }
 
+// addSpeed adds what is known of the speed of a worker to the planner's view of it.
+func (te *term) addSpeed(pw *planner.Worker, now clock.Millis) {
+	ga := te.gauger.Gauge(pw.ID, pw.Incarnation, now)
+	pw.Factor = ga.Factor
+	if te.gauger.Uneven() {
+		pw.Deviation = ga.Deviation
+	}
+}
+
 // factorOf returns by what a worker multiplies run times; 1 if that is not known.
 func (te *term) factorOf(wo *worker, now clock.Millis) float64 {
 	return te.gauger.Gauge(wo.id, wo.report.Incarnation, now).Factor
