--- a/bench/cmd_days.go
+++ b/bench/cmd_days.go
@@ -63,6 +63,7 @@
 		pooled := lo.Pooled()
 		rows = append(rows, reporter.DayRow{Load: lo.Name, Policy: "completion, all room in one", Results: simulateDays(pooled, planner.New(planner.Completion), fl.seeds)})
 	}
+	rows = append(rows, unevenDays(fl.seeds)...)
 	text := reporter.DayTables(rows, fl.commit, fl.seeds)
 	fmt.Print(text)
 	if err := reporter.DayPart.Replace(filepath.Join(fl.docs, measurementsPage), text); err != nil {
@@ -71,6 +72,23 @@
 	return reporter.PlotDays(rows, filepath.Join(fl.docs, policiesPlot))
 }
 
+// unevenDays compares what is known of the speeds of uneven workers, under heavy load and under half of it.
+func unevenDays(seeds int) []reporter.DayRow {
+	var rows []reporter.DayRow
+	for _, lo := range []simulator.Load{simulator.Thengola().Uneven(), simulator.Derwent().Uneven()} {
+		for _, rate := range []float64{lo.Rate, lo.Rate / 2} {
+			lo := lo
+			lo.Rate = rate
+			name := fmt.Sprintf("%s, rate %.2f", lo.Name, rate)
+			for _, kn := range []simulator.Knowledge{simulator.KnowsNothing, simulator.Learns, simulator.KnowsAll} {
+				lo.Knowledge = kn
+				rows = append(rows, reporter.DayRow{Load: name, Policy: "completion, speeds " + kn.String(), Results: simulateDays(lo, planner.New(planner.Completion), seeds)})
+			}
+		}
+	}
+	return rows
+}
+
 // simulateDays simulates one day for each seed from 1 to seeds. It runs as many simulations in
 // parallel as there are CPU cores.
 func simulateDays(lo simulator.Load, po simulator.Policy, seeds int) []simulator.Result {
--- a/bench/simulator/load.go
+++ b/bench/simulator/load.go
@@ -78,7 +78,9 @@
 		// Speeds holds factors by which workers multiply run times. They are assigned to the
 		// workers in rotation.
 		Speeds []float64
-		Kinds  []Kind
+		// Knowledge is what the policy knows of the speeds.
+		Knowledge Knowledge
+		Kinds     []Kind
 		// Rate scales the arrival rates of all kinds.
 		Rate   float64
 		Bursts []Burst
--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -42,6 +43,7 @@
 		random    source
 		now       clock.Millis
 		predictor *predictor.Predictor
+		gauger    *gauger.Gauger
 		events    events
 
 		arrivals []*arrival
@@ -64,6 +66,8 @@
 		started  clock.Millis
 		worker   identifier.Worker
 		stopping bool
+		// far is the slowdown because the run's gang is on several racks; 1 means none.
+		far float64
 	}
 
 	event struct {
@@ -95,7 +99,7 @@
 // Run simulates a day with a policy. Equal seeds draw equal jobs for all policies.
 func Run(lo Load, seed uint64, po Policy) Result {
 	da := &day{
-		load: lo, policy: po, predictor: predictor.New(), random: source{rand.New(rand.NewPCG(seed, 2))},
+		load: lo, policy: po, predictor: predictor.New(), gauger: gauger.New(), random: source{rand.New(rand.NewPCG(seed, 2))},
 		byID: map[identifier.Job]*arrival{}, speeds: map[identifier.Worker]float64{}, runs: map[workload.TaskKey]*run{},
 	}
 	da.arrivals = arrivals(lo, source{rand.New(rand.NewPCG(seed, 1))})
@@ -107,6 +111,7 @@
 			da.schedule(ar.cancelled, func() { da.cancel(ar) })
 		}
 	}
+	da.schedule(pollInterval, da.pollAll)
 	end := lo.Length + lo.DrainTime
 	for len(da.events) > 0 && da.events[0].at <= end {
 		ev := da.events.next()
@@ -186,6 +191,7 @@
 	da.input.Jobs, da.input.Now = jobs, da.now
 	mean, deviation := da.predictor.UpdateDemand("pool", da.now, da.urgentInUse())
 	da.input.Demand = map[identifier.Pool]planner.Demand{"pool": {Mean: mean, Deviation: deviation}}
+	da.gaugeWorkers()
 	pl := da.policy.Plan(da.input)
 	for _, sp := range pl.Stops {
 		sp.Job.StopTask(sp.Stage, &sp.Stage.Tasks[sp.Index])
@@ -216,12 +222,12 @@
 	ar := da.byID[st.Job.ID]
 	step := st.Job.StepOf(st.Stage)
 	number := st.Stage.NextRun(st.Placements[0].Index, step.Gang)
-	factor := da.gangSlowdown(st, step)
+	factor, far := da.gangSlowdown(st, step)
 	for _, pl := range st.Placements {
 		ta := &st.Stage.Tasks[pl.Index]
 		ta.Phase, ta.Run, ta.Worker, ta.Incarnation, ta.PlacedAt = workload.Running, number, pl.Worker, pl.Incarnation, da.now
 		key := st.Job.Key(st.Stage, pl.Index)
-		ru := &run{number: int(number), started: da.now + startDelay, worker: pl.Worker}
+		ru := &run{number: int(number), started: da.now + startDelay, worker: pl.Worker, far: far}
 		da.runs[key] = ru
 		slow := factor
 		if !step.Gang {
@@ -238,9 +244,10 @@
 }
 
 // gangSlowdown returns the factor by which the run time of a gang is longer than on one
-// rack of workers of normal speed. The slowest member determines the speed of the gang.
-func (da *day) gangSlowdown(st planner.Start, step *workload.Step) float64 {
+// rack of workers of normal speed, and the part of it that comes of several racks. The slowest member determines the speed of the gang.
+func (da *day) gangSlowdown(st planner.Start, step *workload.Step) (factor, far float64) {
 	slowest := 0.0
+	far = 1
 	racks := map[identifier.Rack]bool{}
 	for _, pl := range st.Placements {
 		slowest = max(slowest, da.speeds[pl.Worker])
@@ -251,10 +258,10 @@
 		}
 	}
 	if step.SameRack && len(racks) > 1 {
-		slowest *= da.load.CrossRackFactor
+		far = da.load.CrossRackFactor
 		da.result.CrossRackTasks += len(st.Placements)
 	}
-	return slowest
+	return slowest * far, far
 }
 
 // runDuration returns how long the run takes, and whether it then fails. A checkpoint holds
@@ -307,7 +314,8 @@
 	switch outcome {
 	case workload.OutcomeDone:
 		if ta.Checkpoint == "" {
-			da.predictor.RecordRun(ar.job.Queue, step.Estimate, ran)
+			da.gaugeEnd(ar, key, ru, ran)
+			da.predictor.RecordRun(ar.job.Queue, step.Estimate, da.normalRunTime(ar, st, ru.worker, ran))
 		}
 	case workload.OutcomeStopped:
 		da.result.Waste += cores(step.Request) * seconds(lost)
