--- a/shared/gen/operator/operator.go
+++ b/shared/gen/operator/operator.go
@@ -61,6 +61,7 @@
 // Defines values for TargetViewState.
 const (
 	TargetViewStateDraining    TargetViewState = "draining"
+	TargetViewStateEvacuated   TargetViewState = "evacuated"
 	TargetViewStateLeaving     TargetViewState = "leaving"
 	TargetViewStateLive        TargetViewState = "live"
 	TargetViewStateQuarantined TargetViewState = "quarantined"
@@ -72,6 +73,8 @@
 	switch e {
 	case TargetViewStateDraining:
 		return true
+	case TargetViewStateEvacuated:
+		return true
 	case TargetViewStateLeaving:
 		return true
 	case TargetViewStateLive:
@@ -193,6 +196,7 @@
 	Jobs       []JobView               `json:"jobs"`
 	Targets    []TargetView            `json:"targets"`
 	Workspaces []WorkspaceView         `json:"workspaces"`
+	Zones      []ZoneView              `json:"zones"`
 }
 
 // OverviewQuery Asks the leader for its Overview, over net/rpc.
@@ -291,7 +295,7 @@
 	// Rack Identifies a rack.
 	Rack externalRef0.RackID `json:"rack,omitempty"`
 
-	// State Leaving means drained by the platform, draining means drained by an operator, and silent means unresponsive.
+	// State Leaving means drained by the platform, draining means drained by an operator, silent means unresponsive, and evacuated means that its zone is.
 	State TargetViewState `json:"state"`
 
 	// TargetID Identifies a target (a runner or a worker).
@@ -307,7 +311,7 @@
 // TargetViewKind defines model for TargetView.Kind.
 type TargetViewKind string
 
-// TargetViewState Leaving means drained by the platform, draining means drained by an operator, and silent means unresponsive.
+// TargetViewState Leaving means drained by the platform, draining means drained by an operator, silent means unresponsive, and evacuated means that its zone is.
 type TargetViewState string
 
 // Why Explains why a job waits or was placed where it is.
@@ -334,6 +338,9 @@
 	// Jobs Number of jobs.
 	Jobs int `json:"jobs"`
 
+	// Unreclaimable Accelerators of its guarantee that it could not reclaim now because zones are evacuated.
+	Unreclaimable externalRef0.Accelerators `json:"unreclaimable,omitempty"`
+
 	// Used Accelerators used by its urgent work, up to the guarantee.
 	Used externalRef0.Accelerators `json:"used"`
 
@@ -344,6 +351,38 @@
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
 
+// ZoneList defines model for ZoneList.
+type ZoneList struct {
+	Zones []ZoneView `json:"zones"`
+}
+
+// ZoneView An availability zone with the workers of step jobs.
+type ZoneView struct {
+	// Accelerators Total number of accelerators.
+	Accelerators externalRef0.Accelerators `json:"accelerators,omitempty"`
+
+	// Evacuated Operators have asked to start nothing more in the zone.
+	Evacuated bool `json:"evacuated"`
+
+	// FreeAccelerators Number of free accelerators.
+	FreeAccelerators externalRef0.Accelerators `json:"freeAccelerators,omitempty"`
+
+	// Jobs The jobs of these tasks.
+	Jobs []externalRef0.JobID `json:"jobs"`
+
+	// RowVersion Version of the row that asks for it.
+	RowVersion externalRef0.RowVersion `json:"rowVersion,omitempty"`
+
+	// Tasks Tasks that occupy resources there.
+	Tasks []string `json:"tasks"`
+
+	// Workers Number of workers.
+	Workers int `json:"workers"`
+
+	// Zone Identifies an availability zone.
+	Zone externalRef0.ZoneID `json:"zone"`
+}
+
 // GetHistoryParams defines parameters for GetHistory.
 type GetHistoryParams struct {
 	Workspace externalRef0.WorkspaceID `form:"workspace,omitempty" json:"workspace,omitempty"`
@@ -473,6 +512,9 @@
 
 	// ListWorkspaces performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
 	ListWorkspaces(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
+
+	// ListZones performs a GET /v1/zones (the `ListZones` operationId) request.
+	ListZones(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
 }
 
 // GetHistory performs a GET /v1/history (the `GetHistory` operationId) request.
@@ -633,6 +675,19 @@
 	return c.Client.Do(req)
 }
 
+// ListZones performs a GET /v1/zones (the `ListZones` operationId) request.
+func (c *Client) ListZones(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewListZonesRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // NewGetHistoryRequest constructs an http.Request for the GetHistory method
 func NewGetHistoryRequest(server string, params *GetHistoryParams) (*http.Request, error) {
 	var err error
@@ -1047,6 +1102,33 @@
 	return req, nil
 }
 
+// NewListZonesRequest constructs an http.Request for the ListZones method
+func NewListZonesRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/zones")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 func (c *Client) applyEditors(ctx context.Context, req *http.Request, additionalEditors []RequestEditorFn) error {
 	for _, r := range c.RequestEditors {
 		if err := r(ctx, req); err != nil {
@@ -1150,6 +1232,11 @@
 	//
 	// Returns a wrapper object for the known response body format(s).
 	ListWorkspacesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListWorkspacesResponse, error)
+
+	// ListZonesWithResponse performs a GET /v1/zones (the `ListZones` operationId) request.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	ListZonesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListZonesResponse, error)
 }
 
 type GetHistoryResponse struct {
@@ -1680,6 +1767,54 @@
 	return ""
 }
 
+type ListZonesResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *ZoneList
+	// ApplicationProblemJSONDefault the response for an HTTP default `application/problem+json` response
+	ApplicationProblemJSONDefault *externalRef0.Problem
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r ListZonesResponse) GetJSON200() *ZoneList {
+	return r.JSON200
+}
+
+// GetApplicationProblemJSONDefault returns the response for an HTTP default `application/problem+json` response
+func (r ListZonesResponse) GetApplicationProblemJSONDefault() *externalRef0.Problem {
+	return r.ApplicationProblemJSONDefault
+}
+
+// GetBody returns the raw response body bytes
+func (r ListZonesResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r ListZonesResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r ListZonesResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r ListZonesResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 // GetHistoryWithResponse performs a GET /v1/history (the `GetHistory` operationId) request.
 //
 // Returns a wrapper object for the known response body format(s).
@@ -1812,6 +1947,17 @@
 	return ParseListWorkspacesResponse(rsp)
 }
 
+// ListZonesWithResponse performs a GET /v1/zones (the `ListZones` operationId) request.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) ListZonesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListZonesResponse, error) {
+	rsp, err := c.ListZones(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseListZonesResponse(rsp)
+}
+
 // ParseGetHistoryResponse parses an HTTP response from a GetHistoryWithResponse call
 func ParseGetHistoryResponse(rsp *http.Response) (*GetHistoryResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -2175,6 +2321,39 @@
 	return response, nil
 }
 
+// ParseListZonesResponse parses an HTTP response from a ListZonesWithResponse call
+func ParseListZonesResponse(rsp *http.Response) (*ListZonesResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &ListZonesResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest ZoneList
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && true:
+		var dest externalRef0.Problem
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.ApplicationProblemJSONDefault = &dest
+
+	}
+
+	return response, nil
+}
+
 // ServerInterface represents all server handlers.
 type ServerInterface interface {
 
@@ -2210,6 +2389,9 @@
 
 	// (GET /v1/workspaces)
 	ListWorkspaces(w http.ResponseWriter, r *http.Request)
+
+	// (GET /v1/zones)
+	ListZones(w http.ResponseWriter, r *http.Request)
 }
 
 // ServerInterfaceWrapper converts contexts to parameters.
@@ -2486,6 +2668,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// ListZones operation middleware
+func (siw *ServerInterfaceWrapper) ListZones(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.ListZones(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 type UnescapedCookieParamError struct {
 	ParamName string
 	Err       error
@@ -2617,6 +2813,8 @@
 
 	r.HandleFunc(options.BaseURL+"/v1/workspaces", wrapper.ListWorkspaces).Methods(http.MethodGet)
 
+	r.HandleFunc(options.BaseURL+"/v1/zones", wrapper.ListZones).Methods(http.MethodGet)
+
 	r.HandleFunc(options.BaseURL+"/v1/targets", wrapper.ListTargets).Methods(http.MethodGet)
 
 	r.HandleFunc(options.BaseURL+"/v1/targets/{targetId}/drain", wrapper.DrainTarget).Methods(http.MethodPost)
@@ -3051,6 +3249,44 @@
 	return err
 }
 
+type ListZonesRequestObject struct {
+}
+
+type ListZonesResponseObject interface {
+	VisitListZonesResponse(w http.ResponseWriter) error
+}
+
+type ListZones200JSONResponse ZoneList
+
+func (response ListZones200JSONResponse) VisitListZonesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
+type ListZonesdefaultApplicationProblemPlusJSONResponse struct {
+	Body       externalRef0.Problem
+	StatusCode int
+}
+
+func (response ListZonesdefaultApplicationProblemPlusJSONResponse) VisitListZonesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response.Body); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(response.StatusCode)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 // StrictServerInterface represents all server handlers.
 type StrictServerInterface interface {
 
@@ -3086,6 +3322,9 @@
 
 	// (GET /v1/workspaces)
 	ListWorkspaces(ctx context.Context, request ListWorkspacesRequestObject) (ListWorkspacesResponseObject, error)
+
+	// (GET /v1/zones)
+	ListZones(ctx context.Context, request ListZonesRequestObject) (ListZonesResponseObject, error)
 }
 
 type StrictHandlerFunc func(ctx context.Context, w http.ResponseWriter, r *http.Request, request any) (any, error)
@@ -3411,3 +3650,27 @@
 		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
 	}
 }
+
+// ListZones operation middleware
+func (sh *strictHandler) ListZones(w http.ResponseWriter, r *http.Request) {
+	var request ListZonesRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.ListZones(ctx, request.(ListZonesRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "ListZones")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(ListZonesResponseObject); ok {
+		if err := validResponse.VisitListZonesResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -27,7 +27,7 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdWorkspacesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
@@ -36,6 +36,7 @@
 		"targets":    "Runners and workers.",
 		"workers":    "Workers.",
 		"workspaces": "Guaranteed and borrowed accelerators of workspaces.",
+		"zones":      "Availability zones of the workers.",
 		"instances":  "Entry instances.",
 	}
 
--- a/wagtailcroft/step_jobs_test.go
+++ b/wagtailcroft/step_jobs_test.go
@@ -9,6 +9,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/types"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
 // newStubRunner returns a runner for a stub server that responds to each path with the given
@@ -36,7 +37,11 @@
 		"/v1/targets": operator.TargetList{Targets: []operator.TargetView{
 			{TargetID: "w1", Kind: operator.TargetViewKindWorker, Pool: "desk", Accelerators: 8, FreeAccelerators: 3, FreeMilliCores: 12000, Tasks: []string{"a", "b"}, State: operator.TargetViewStateSilent},
 		}},
-		"/v1/workspaces": operator.WorkspaceList{Workspaces: []operator.WorkspaceView{{Workspace: "studio", Guaranteed: 72, Used: 16, Borrowed: 8, Waiting: 32, Jobs: 5}}},
+		"/v1/workspaces": operator.WorkspaceList{Workspaces: []operator.WorkspaceView{{Workspace: "studio", Guaranteed: 72, Used: 16, Borrowed: 8, Waiting: 32, Jobs: 5, Unreclaimable: 7}}},
+		"/v1/zones": operator.ZoneList{Zones: []operator.ZoneView{
+			{Zone: "kochi", Evacuated: true, RowVersion: 41, Workers: 12, Accelerators: 96, FreeAccelerators: 90, Tasks: []string{"a", "b"}, Jobs: []identifier.Job{"j1", "j2", "j3", "j4", "j5", "j6", "j7", "j8", "j9"}},
+			{Zone: "tvm", Workers: 13, Accelerators: 104, FreeAccelerators: 5, Tasks: []string{}, Jobs: []identifier.Job{}},
+		}},
 	})
 	t.Run("jobs show their queue, steps and reason for waiting", func(t *testing.T) {
 		cli.t = t
@@ -48,9 +53,14 @@
 		cli.t = t
 		cli.exec("workers list").expectOutput("w1", "3, 12 cores", "2", "silent").expectCode(0)
 	})
+	t.Run("zones show whether they are evacuated and what runs there", func(t *testing.T) {
+		cli.t = t
+		cli.exec("zones list").expectOutput("kochi", "evacuated by row version 41", "12", "90", "j1 j2", "j8 and 1 more", "tvm", "in use").expectCode(0)
+		cli.exec("zones list --output json").expectOutput(`"rowVersion": 41`, `"j9"`).expectCode(0)
+	})
 	t.Run("workspaces show guaranteed and borrowed accelerators", func(t *testing.T) {
 		cli.t = t
-		cli.exec("workspaces list").expectOutput("studio", "72", "16", "8", "32", "5").expectCode(0)
+		cli.exec("workspaces list").expectOutput("studio", "72", "16", "8", "32", "5", "UNRECLAIMABLE", "7").expectCode(0)
 		cli.exec("workspaces list --output json").expectOutput(`"guaranteed": 72`).expectCode(0)
 	})
 }
--- a/wagtailcroftd/controller/dispatch.go
+++ b/wagtailcroftd/controller/dispatch.go
@@ -114,8 +114,10 @@
 	why := te.startBarrier(wo)
 	switch {
 	case !pl.startSent:
+		te.Metrics.Count("barredStarts", "skipped")
 		te.skipStart(wo, key, pl, why)
 	case why == workerDraining || wo.contacted:
+		te.Metrics.Count("barredStarts", "abandoned")
 		te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).Str("why", why).Msg("startAbandoned")
 		te.stopTask(key)
 		te.trigger()
--- a/wagtailcroftd/controller/evacuation_test.go
+++ b/wagtailcroftd/controller/evacuation_test.go
@@ -192,6 +192,28 @@
 			asserter.Equal(t, wk.stoppedAt.Load() > 0, true)
 		})
 	})
+	t.Run("a gang across the zone is given up whole", func(t *testing.T) {
+		runEvacuation(t, func(te *term, fe *fakeEvacuations) {
+			wk, _ := te.Workers.(*answeringWorkers)
+			go te.runDispatcher()
+			te.mu.Lock()
+			addStartingJob(te, "j", "w-0", "w-1")
+			te.workers["w-0"].runs[key].retryAt = te.Clock.Now() + 300 // the member there leaves last
+			te.mark(te.workers["w-1"])
+			te.mu.Unlock()
+			synctest.Wait()
+			fe.set(te.Clock.Now(), kochi)
+			lead(te, clock.Second)
+			asserter.Equal(t, starts(te), 1)
+			asserter.Equal(t, wk.stoppedAt.Load() > 0, true)
+			te.mu.Lock()
+			defer te.mu.Unlock()
+			_, ta := te.jobs["j"].job.Task(key)
+			asserter.Equal(t, ta.Phase, workload.Waiting)
+			_, other := te.jobs["j"].job.Task(workload.TaskKey{Job: "j", Index: 1})
+			asserter.Equal(t, other.Phase, workload.Stopping) // until its worker lists the end
+		})
+	})
 	t.Run("a run that has started goes on", func(t *testing.T) {
 		runEvacuation(t, func(te *term, fe *fakeEvacuations) {
 			wk, _ := te.Workers.(*answeringWorkers)
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
@@ -26,6 +28,8 @@
 	// WorkerUnresponsive means that it has not answered the last poll, has not answered any
 	// poll yet, or is no longer listed by the platform.
 	WorkerUnresponsive
+	// WorkerEvacuated means that it gets none because its zone is evacuated.
+	WorkerEvacuated
 )
 
 type (
@@ -42,6 +46,8 @@
 		Workers []WorkerView
 		// Workspaces are those of the configuration in force.
 		Workspaces []policy.Workspace
+		// Evacuations holds the evacuated zones.
+		Evacuations fleet.Evacuations
 	}
 
 	// JobView is a job and what it waits for.
@@ -79,6 +85,9 @@
 	}
 	now := te.Clock.Now()
 	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces)}
+	if te.op.MaxEvacuationAge > 0 {
+		vi.Evacuations = te.Policies.Evacuations()
+	}
 	for _, wo := range te.workers {
 		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
 	}
@@ -97,6 +106,8 @@
 		view.State = WorkerDraining
 	case !wo.contacted || !wo.listed || wo.failures >= unusableAfterFailures:
 		view.State = WorkerUnresponsive
+	case te.evacuated(wo.report.Zone):
+		view.State = WorkerEvacuated
 	case now < wo.blockedUntil:
 		view.State = WorkerQuarantined
 	}
@@ -170,7 +181,7 @@
 	case qu.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks waiting for the advice service to approve workers", name, waiting)
 	}
-	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool))
+	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool)+te.describeEvacuations(step, pool))
 }
 
 // describeCapacity describes the resources that each task of a step requests, and those that
@@ -199,3 +210,23 @@
 	return fmt.Sprintf("%s: each requests %d millicores, %d MiB and %d accelerators; %d of %d usable workers have enough free; %d accelerators are free, at most %d on one worker",
 		wanted, step.Request.CPU, step.Request.Memory, step.Request.Accelerators, fitting, usable, free, largest)
 }
+
+// describeEvacuations names the evacuated zones with workers of a pool, and what they would have free.
+func (te *term) describeEvacuations(step *workload.Step, pool []WorkerView) string {
+	workers, fitting := map[identifier.Zone]int{}, map[identifier.Zone]int{}
+	for _, wo := range pool {
+		if wo.State != WorkerEvacuated {
+			continue
+		}
+		workers[wo.Report.Zone]++
+		if wo.Free.Fits(step.Reserved()) {
+			fitting[wo.Report.Zone]++
+		}
+	}
+	var text strings.Builder
+	for _, zone := range slices.Sorted(maps.Keys(workers)) {
+		fmt.Fprintf(&text, "; zone %s is evacuated by row version %d: its %d workers get no new runs, %d of them have enough free",
+			zone, te.Policies.Evacuations()[zone], workers[zone], fitting[zone])
+	}
+	return text.String()
+}
--- a/wagtailcroftd/operatorserver/jobs.go
+++ b/wagtailcroftd/operatorserver/jobs.go
@@ -177,6 +177,28 @@
 	return operator.DrainTarget200JSONResponse(view), nil
 }
 
+// ListZones returns the zones of the workers. None is evacuated: the table has no such request.
+func (se *Server) ListZones(ctx context.Context, _ operator.ListZonesRequestObject) (operator.ListZonesResponseObject, error) {
+	targets, err := se.targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	list := operator.ZoneList{Zones: []operator.ZoneView{}}
+	for _, ta := range targets {
+		if ta.Kind != operator.TargetViewKindWorker {
+			continue
+		}
+		at := slices.IndexFunc(list.Zones, func(zo operator.ZoneView) bool { return zo.Zone == ta.Zone })
+		if at < 0 {
+			at = len(list.Zones)
+			list.Zones = append(list.Zones, operator.ZoneView{Zone: ta.Zone, Tasks: []string{}, Jobs: []identifier.Job{}})
+		}
+		list.Zones[at].Workers++
+		list.Zones[at].Accelerators += ta.Accelerators
+	}
+	return operator.ListZones200JSONResponse(list), nil
+}
+
 // ListWorkspaces returns the accelerators that each workspace is guaranteed, uses, borrows
 // and waits for.
 func (se *Server) ListWorkspaces(ctx context.Context, _ operator.ListWorkspacesRequestObject) (operator.ListWorkspacesResponseObject, error) {
--- a/wagtailcroftd/overseer/overseer.go
+++ b/wagtailcroftd/overseer/overseer.go
@@ -153,6 +153,15 @@
 	return operator.ListWorkspaces200JSONResponse{Workspaces: snapshot.Workspaces}, nil
 }
 
+// ListZones returns the availability zones of the workers, and those that are evacuated.
+func (ov *Overseer) ListZones(ctx context.Context, _ operator.ListZonesRequestObject) (operator.ListZonesResponseObject, error) {
+	snapshot, err := ov.overview(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ListZones200JSONResponse{Zones: snapshot.Zones}, nil
+}
+
 // GetStatus returns this instance with its configuration version, and the leader if it is
 // another instance.
 func (ov *Overseer) GetStatus(ctx context.Context, _ operator.GetStatusRequestObject) (operator.GetStatusResponseObject, error) {
--- a/wagtailcroftd/overseer/overview.go
+++ b/wagtailcroftd/overseer/overview.go
@@ -16,13 +16,14 @@
 	controller.WorkerDraining:     operator.TargetViewStateLeaving,
 	controller.WorkerQuarantined:  operator.TargetViewStateQuarantined,
 	controller.WorkerUnresponsive: operator.TargetViewStateSilent,
+	controller.WorkerEvacuated:    operator.TargetViewStateEvacuated,
 }
 
 // newOverview converts the controller's view to a message.
 func newOverview(in identifier.Instance, view controller.View) operator.Overview {
 	snapshot := operator.Overview{
 		Deciding: true, Instance: in, Fence: view.Fence,
-		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view),
+		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view), Zones: zoneViews(view),
 	}
 	for i := range view.Jobs {
 		snapshot.Jobs = append(snapshot.Jobs, jobView(&view.Jobs[i]))
@@ -105,6 +106,7 @@
 		}
 		list = append(list, out)
 	}
+	addUnreclaimable(list, view)
 	return list
 }
 
--- a/wagtailcroftd/participant/evacuation_test.go
+++ b/wagtailcroftd/participant/evacuation_test.go
@@ -1,10 +1,15 @@
 package participant_test
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
 	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
 )
 
@@ -115,6 +120,69 @@
 	})
 }
 
+// TestEvacuationView checks what operators see of an evacuation, at every instance.
+func TestEvacuationView(t *testing.T) {
+	t.Run("the zone, what still runs there, and the jobs and guarantees that lack it", func(t *testing.T) {
+		runScenario(t, 3, 4, func(ha *harness) {
+			running := ha.mustSubmit(0, ha.job(normalPrefix, seconds(60), tasks(4, 2)))
+			ha.awaitState(0, running, "running", time.Second)
+			ha.sleep(500 * time.Millisecond)
+			inZone := 0
+			for _, at := range ha.cluster.RunnersOf(running.ID) {
+				if at%len(zones) == 0 {
+					inZone++
+				}
+			}
+			version := ha.cluster.Evacuate(zones[0])
+			ha.cluster.Evacuate("nowhere")
+			waiting := ha.mustSubmit(0, ha.job(batchPrefix, seconds(1), asGang(tasks(3, 8))))
+			ha.sleep(time.Second)
+			for at := range ha.instances {
+				list, _ := query[operator.ZoneList](ha, at, "/v1/zones")
+				asserter.Equal(t, len(list.Zones), 3)
+				asserter.Equal(t, list.Zones[0].Zone, "nowhere")
+				asserter.Equal(t, list.Zones[0].Workers, 0)
+				asserter.Equal(t, list.Zones[1].Evacuated, true)
+				asserter.Equal(t, int64(list.Zones[1].RowVersion), version)
+				asserter.Equal(t, list.Zones[1].Workers, 2)
+				asserter.Equal(t, len(list.Zones[1].Tasks), inZone)
+				asserter.Equal(t, list.Zones[2].Evacuated, false)
+				why, _ := query[operator.Why](ha, at, "/v1/jobs/"+waiting.ID+"/why")
+				assertContains(t, why.Lines, fmt.Sprintf("zone z0 is evacuated by row version %d: its 2 workers get no new runs", version))
+				targets, _ := query[operator.TargetList](ha, at, "/v1/targets")
+				asserter.Equal(t, targets.Targets[0].State, operator.TargetViewStateEvacuated)
+				asserter.Equal(t, targets.Targets[1].State, operator.TargetViewStateLive)
+				workspaces, _ := query[operator.WorkspaceList](ha, at, "/v1/workspaces")
+				asserter.Equal(t, workspaces.Workspaces[0].Unreclaimable, 0) // 16 are guaranteed, 16 are left
+			}
+			ha.cluster.Evacuate(zones[1])
+			ha.sleep(learnTime)
+			workspaces, _ := query[operator.WorkspaceList](ha, 0, "/v1/workspaces")
+			asserter.Equal(t, workspaces.Workspaces[0].Unreclaimable, 16)
+			ha.cluster.TakeBack(zones[0])
+			ha.cluster.TakeBack(zones[1])
+			ha.cluster.TakeBack("nowhere")
+			ha.sleep(learnTime)
+			list, _ := query[operator.ZoneList](ha, 0, "/v1/zones")
+			asserter.Equal(t, len(list.Zones), 2)
+			asserter.Equal(t, list.Zones[0].Evacuated, false)
+		})
+	})
+	t.Run("the metrics count it", func(t *testing.T) {
+		runScenario(t, 1, 2, func(ha *harness) {
+			ha.cluster.Evacuate(zones[0])
+			ha.sleep(learnTime)
+			ha.cluster.TakeBack(zones[0])
+			ha.sleep(learnTime)
+			re := httptest.NewRecorder()
+			ha.instances[0].pa.MetricsHandler().ServeHTTP(re, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+			for _, label := range []string{"begun", "ended"} {
+				asserter.Equal(t, strings.Contains(re.Body.String(), `wagtailcroft_evacuations_total{label="`+label+`"} 1`), true)
+			}
+		})
+	})
+}
+
 // TestEvacuationFaults plays faults in the midst of an evacuation.
 func TestEvacuationFaults(t *testing.T) {
 	t.Run("a new leader starts nothing in the zone", func(t *testing.T) {
