Confirm evacuations as often as their bound needs

Cause: the feed is answered within 1 s, so that a confirmation is up to 2 s old; with an evacuateMs below 2.5 s starts would have waited again and again.

--- a/wagtailcroftd/follower/evacuations_test.go
+++ b/wagtailcroftd/follower/evacuations_test.go
@@ -132,3 +132,9 @@
 		assertEvacuated(t, fo)
 	})
 }
+
+func TestWait(t *testing.T) {
+	for _, ex := range []struct{ maxAge, want clock.Millis }{{0, 1000}, {8000, 1000}, {4000, 1000}, {1600, 400}, {1, 100}} {
+		asserter.Equal(t, Source{MaxAge: ex.maxAge}.wait(), ex.want)
+	}
+}
--- a/wagtailcroftd/follower/follower.go
+++ b/wagtailcroftd/follower/follower.go
@@ -18,9 +18,16 @@
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
 
-// followWait is how long the store may wait for a change before it confirms that there is none.
-// It is well below the time for which an unconfirmed configuration may be used.
-const followWait = 1000 * clock.Millis(1)
+const (
+	// followWait is how long the store may wait for a change before it confirms that there is none.
+	// It is well below the time for which an unconfirmed configuration may be used. minFollowWait bounds
+	// the calls.
+	followWait    = 1000 * clock.Millis(1)
+	minFollowWait = 100 * clock.Millis(1)
+	// confirmationsPerAge is how often the table is confirmed at least within Source.MaxAge: the age of a
+	// confirmation reaches twice the wait.
+	confirmationsPerAge = 4
+)
 
 type (
 	// Source is the key of the configuration row and the functions that decode the rows of its
@@ -34,6 +41,8 @@
 		// DecodeEvacuation decodes the request to evacuate an availability zone. Its second result is
 		// false for a row that is no such request. It is nil where no zone is evacuated.
 		DecodeEvacuation func(row rowstore.Row) (identifier.Zone, bool, error)
+		// MaxAge is how old a confirmation of the evacuations may be; 0 means that it does not matter.
+		MaxAge clock.Millis
 		// Zones are the availability zones of the system; none means that they are not known.
 		Zones []identifier.Zone
 		// Metrics counts the evacuations.
@@ -74,7 +83,15 @@
 
 // Run follows the configuration until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
-	tailer.New(fo.store, fo.source.Key.Table, tailer.Timing{Wait: followWait}, fo.cl, fo.log).Run(ctx, handler{fo})
+	tailer.New(fo.store, fo.source.Key.Table, tailer.Timing{Wait: fo.source.wait()}, fo.cl, fo.log).Run(ctx, handler{fo})
+}
+
+// wait returns how long the store may wait for a change.
+func (so Source) wait() clock.Millis {
+	if so.MaxAge == 0 {
+		return followWait
+	}
+	return min(max(so.MaxAge/confirmationsPerAge, minFollowWait), followWait)
 }
 
 // Current returns the newest configuration, or nil if none has been read yet.
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -89,7 +89,7 @@
 	store := instrumenter.NewStore(platform.NewStore(set.StoreAddress, de.Transport), de.Metrics, de.Tracer, de.Clock)
 	source := follower.Source{Key: platform.ConfigKey, Decode: platform.DecodePolicy, DecodeWave: platform.DecodeWave, Zones: set.Zones, Metrics: de.Metrics}
 	if set.EvacuateMillis > 0 {
-		source.DecodeEvacuation = platform.DecodeEvacuation
+		source.DecodeEvacuation, source.MaxAge = platform.DecodeEvacuation, set.EvacuateMillis
 	}
 	pa.follower = follower.New(source, store, de.Clock, de.Log)
 	pa.intake = intake.New(store, pa.follower, de.Clock, de.Log, intake.Options{ConfigKey: platform.ConfigKey, MaxPolicyAge: set.UnconfirmedMillis, RowLimit: set.RowLimit, Metrics: de.Metrics})
