--- a/soak/launcher/launcher.go
+++ b/soak/launcher/launcher.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -20,6 +21,12 @@
 	readyTime  = 20 * clock.Second
 	readyPause = 50 * clock.Millis(1)
 
+	portCallers   = 8521
+	portReadiness = 8523
+	portOperators = 8526
+	portPeers     = 7000
+	portMetrics   = 9464
+
 	// settingsForm are settings as the platform writes them.
 	settingsForm = `nodeName = "%[1]s"
 role = "scheduler"
@@ -41,8 +48,8 @@
 [limits]
 cpuShare = 0.4
 cores = 1
-memoryMb = 284
-maxFds = 4100
+memoryMb = %[5]d
+maxFds = %[6]d
 linkMbps = 1000.0
 [bounds]
 contactMs = 3000
@@ -63,25 +70,39 @@
 `
 )
 
-// ports are the ports that an instance uses.
-var ports = []int{8521, 8523, 8526, 7000}
-
-// Instance is a process of wagtailcroftd.
-type Instance struct {
-	// Name is the name of its machine.
-	Name          string
-	ip            string
-	program       string
-	settings, log string
-	// cmd is nil while the process does not run; ended is closed when it has ended.
-	cmd   *exec.Cmd
-	ended chan struct{}
-}
+var (
+	// SmallMachine are the limits of the smaller machines of the deployments.
+	SmallMachine = Machine{MemoryMb: 284, MaxFds: 4100}
+
+	// ports are the ports that an instance uses.
+	ports = []int{portCallers, portReadiness, portOperators, portPeers, portMetrics}
+)
+
+type (
+	// Machine holds the limits of the machine of an instance, as its settings state them.
+	Machine struct {
+		// MemoryMb is the memory in MiB, and MaxFds the number of descriptors.
+		MemoryMb, MaxFds int64
+	}
+
+	// Instance is a process of wagtailcroftd.
+	Instance struct {
+		// Name is the name of its machine.
+		Name          string
+		ip            string
+		program       string
+		settings, log string
+		// cmd is nil while the process does not run; ended is closed when it has ended.
+		cmd   *exec.Cmd
+		ended chan struct{}
+	}
+)
 
-// New prepares an instance at a loopback address, which calls a store. Its files go to a folder.
-func New(program, dir, name, ip, zone, store string) (*Instance, error) {
+// New prepares an instance on a machine with a loopback address, which calls a store. Its files go to a
+// folder.
+func New(program, dir, name, ip, zone, store string, ma Machine) (*Instance, error) {
 	in := &Instance{Name: name, ip: ip, program: program, settings: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
-	text := fmt.Sprintf(settingsForm, name, ip, zone, store)
+	text := fmt.Sprintf(settingsForm, name, ip, zone, store, ma.MemoryMb, ma.MaxFds)
 	return in, eris.Wrap(os.WriteFile(in.settings, []byte(text), 0o600), "cannot write the settings of an instance")
 }
 
@@ -98,7 +119,28 @@
 }
 
 // URL returns the address at which the instance serves callers.
-func (in *Instance) URL() string { return "http://" + in.ip + ":8521" }
+func (in *Instance) URL() string { return "http://" + in.Address(portCallers) }
+
+// Address returns the address of a port of the instance.
+func (in *Instance) Address(port int) string { return net.JoinHostPort(in.ip, strconv.Itoa(port)) }
+
+// Listeners returns the addresses on which the instance listens, by what is served there.
+func (in *Instance) Listeners() map[string]string {
+	return map[string]string{
+		"callers": in.Address(portCallers), "readiness": in.Address(portReadiness), "operators": in.Address(portOperators),
+		"metrics": in.Address(portMetrics), "peers": in.Address(portPeers),
+	}
+}
+
+// PID returns the id of the process, and false once it has ended.
+func (in *Instance) PID() (int, bool) {
+	select {
+	case <-in.ended:
+		return in.cmd.Process.Pid, false
+	default:
+		return in.cmd.Process.Pid, true
+	}
+}
 
 // Start starts the process. It ends with this one.
 func (in *Instance) Start() error {
@@ -106,7 +148,7 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot write the log of an instance")
 	}
-	cmd := exec.Command(in.program, "schedule", in.settings) //nolint:gosec // the program under test
+	cmd := exec.Command(in.program, "schedule", "--metrics-port="+strconv.Itoa(portMetrics), in.settings) //nolint:gosec // the program under test
 	cmd.Stdout, cmd.Stderr = logs, logs
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/soak/player/player.go
+++ b/soak/player/player.go
@@ -148,7 +148,7 @@
 		return eris.Wrap(err, "cannot listen on the loopback interface")
 	}
 	go func() { _ = http.Serve(ln, re) }() //nolint:gosec // it ends with this process
-	in, err := launcher.New(pl.Program, pl.Dir, name, ip, "z0", ln.Addr().String())
+	in, err := launcher.New(pl.Program, pl.Dir, name, ip, "z0", ln.Addr().String(), launcher.SmallMachine)
 	if err != nil {
 		return err
 	}
