Keep clients outside the operators' control within memory and descriptors

Cause: no listener of `schedule` had a limit for heads, connections, unfinished requests or their time; maxBodyBytes of the configuration was read nowhere; all steps of a body were decoded before their number was checked; the decoder of net/rpc reserves 10 MiB for a message that claims them.

Change: gatekeeper wraps all five listeners. decisions/shedder decides without I/O who is closed: connections are limited for each listener and together, by the descriptors that polls, files and outgoing connections leave and by an eighth of the memory; unfinished requests hold at most an eighth of the memory together; beyond it the one that has sent least for longest goes first, a single request never. A head is refused with 431 above maxHeaderBytes of the configuration and closed after headerTimeoutMs; a body without progress is closed after 10 s, and so is a client that does not take its answer. Other instances have a limit for a message and, from one address, for connections. Bodies above maxBodyBytes are refused with 413, by their length where it is known; steps are decoded one by one; two large bodies are decoded at a time. The soft limit of the Go runtime leaves 32 MiB for what it does not count, which matters below 107 MiB.

--- a/decisions/policy/policy.go
+++ b/decisions/policy/policy.go
@@ -20,8 +20,13 @@
 		Queues     []Queue
 		Pools      map[identifier.Pool]Pool
 		Workspaces []Workspace
-		// BodyLimit is the maximum size of the body of a call.
+		// BodyLimit is the maximum size of the body of a call, and HeadLimit that of its head; 0 means that
+		// the configuration states none.
 		BodyLimit meter.Bytes
+		HeadLimit meter.Bytes
+		// HeadTimeout is the maximum time from the first byte of a head to its end; 0 means that the
+		// configuration states none.
+		HeadTimeout clock.Millis
 
 		// byName maps the name of each queue to its index in Queues; byHost maps each host
 		// to the indexes of its queues.
@@ -81,6 +86,8 @@
 		Rest string
 		// Version is the version of the configuration that allowed the call.
 		Version meter.RowVersion
+		// BodyLimit is the maximum size of the body; 0 means that the configuration states none.
+		BodyLimit meter.Bytes
 	}
 )
 
@@ -149,5 +156,5 @@
 	if !known && (key != "" || !qu.AllowAnonymous) {
 		return Access{}, problem.New(problem.BadToken, "the API key does not belong to any workspace")
 	}
-	return Access{Queue: qu, Workspace: owner, Rest: rest, Version: po.Version}, nil
+	return Access{Queue: qu, Workspace: owner, Rest: rest, Version: po.Version, BodyLimit: po.BodyLimit}, nil
 }
--- a/decisions/workload/validate.go
+++ b/decisions/workload/validate.go
@@ -11,8 +11,8 @@
 	maxTasks = 1000
 	// maxAllTasks limits the tasks of all occurrences of a job.
 	maxAllTasks = 100_000
-	// maxSteps limits the steps of a job.
-	maxSteps = 100
+	// MaxSteps limits the steps of a job.
+	MaxSteps = 100
 	// maxDueTime is the latest due time that a job may have, in milliseconds since 1970; it leaves
 	// room for sums.
 	maxDueTime = clock.Millis(1) << 53
@@ -21,8 +21,8 @@
 // Validate checks a submitted job. Errors are of the kind BadBody and name the invalid
 // field.
 func (jo *Job) Validate() error {
-	if len(jo.Steps) == 0 || len(jo.Steps) > maxSteps {
-		return problem.New(problem.BadBody, "a job must have 1 to %d steps, got %d", maxSteps, len(jo.Steps))
+	if len(jo.Steps) == 0 || len(jo.Steps) > MaxSteps {
+		return problem.New(problem.BadBody, "a job must have 1 to %d steps, got %d", MaxSteps, len(jo.Steps))
 	}
 	tasks := 0
 	for i := range jo.Steps {
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -12,15 +12,30 @@
 	// AdviceAddress Address of the service that decides which workers may run a step; empty means none.
 	AdviceAddress string `json:"adviceAddress,omitempty" toml:"adviceAddress" validate:"omitempty,hostname_port"`
 
+	// AnswerTimeoutMillis How long a client may not take an answer, in milliseconds.
+	AnswerTimeoutMillis externalRef0.Millis `json:"answerTimeoutMillis" toml:"answerTimeoutMillis" validate:"min=100,max=600000"`
+
+	// BodyTimeoutMillis How long the body of a request may make no progress, in milliseconds.
+	BodyTimeoutMillis externalRef0.Millis `json:"bodyTimeoutMillis" toml:"bodyTimeoutMillis" validate:"min=100,max=600000"`
+
 	// CallerAddress Listen address for callers.
 	CallerAddress string `json:"callerAddress" toml:"callerAddress" validate:"required,hostname_port"`
 
+	// ConnectionLimit How many connections of clients and other instances may be open, on all listeners together; each takes a descriptor and about 24 KiB.
+	ConnectionLimit int `json:"connectionLimit" toml:"connectionLimit" validate:"min=16"`
+
 	// GangTimeoutMillis How long a member of a gang waits on its worker for the other members, in milliseconds.
 	GangTimeoutMillis externalRef0.Millis `json:"gangTimeoutMillis" toml:"gangTimeoutMillis" validate:"min=100,max=600000"`
 
 	// GraceMillis Maximum duration of a graceful shutdown, in milliseconds.
 	GraceMillis externalRef0.Millis `json:"graceMillis" toml:"graceMillis" validate:"min=100,max=600000"`
 
+	// HeadLimit Largest head of a request where the configuration of the operators states none, in bytes.
+	HeadLimit externalRef0.Bytes `json:"headLimit" toml:"headLimit" validate:"min=1024"`
+
+	// HeadTimeoutMillis Time from the first byte of a head to its end where the configuration of the operators states none, in milliseconds.
+	HeadTimeoutMillis externalRef0.Millis `json:"headTimeoutMillis" toml:"headTimeoutMillis" validate:"min=100,max=600000"`
+
 	// Instance Name of the instance.
 	Instance externalRef0.InstanceID `json:"instance" toml:"instance" validate:"required,max=63"`
 
@@ -48,6 +63,9 @@
 	// ReadinessAddress Listen address for readiness checks.
 	ReadinessAddress string `json:"readinessAddress" toml:"readinessAddress" validate:"required,hostname_port"`
 
+	// RequestMemory Memory that unfinished requests may hold, on all connections together, in bytes. Beyond it, the one that has sent least for longest is closed.
+	RequestMemory externalRef0.Bytes `json:"requestMemory" toml:"requestMemory" validate:"min=1048576"`
+
 	// RetentionMillis How long ended jobs are kept, in milliseconds.
 	RetentionMillis externalRef0.Millis `json:"retentionMillis" toml:"retentionMillis" validate:"min=1000"`
 
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/shedder"
 	"github.com/wagtailcroft/wagtailcroft/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
@@ -22,6 +23,7 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
 	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/gatekeeper"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/participant"
 )
@@ -31,6 +33,9 @@
 	// soft limit. The rest is left for memory that the runtime does not count, such as
 	// unread bytes in socket buffers.
 	memoryShare = 0.7
+	// uncountedMemory is what the runtime does not count on any machine: the text of the program, and
+	// garbage that is not collected in time. It matters on machines below 107 MiB.
+	uncountedMemory = 32 << 20
 	// gcPercent is below the Go default of 100: it spends CPU time to lower the peak
 	// memory, which is what the instance is charged for. leaderGCPercent is that of the leader, whose
 	// CPU time is scarcer than its memory.
@@ -53,6 +58,7 @@
 
 // endpoint is an address and what is served there.
 type endpoint struct {
+	name    shedder.Listener
 	address string
 	handler http.Handler
 }
@@ -62,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(set.MemoryLimit) * memoryShare))
+	debug.SetMemoryLimit(min(int64(float64(set.MemoryLimit)*memoryShare), int64(set.MemoryLimit)-uncountedMemory))
 	debug.SetGCPercent(gcPercent)
 	metrics := instrumenter.New()
 	metrics.Publish("scheduler")
@@ -120,23 +126,24 @@
 // listen starts the HTTP servers and the peer server on the configured addresses.
 func listen(set member.Settings, metricsPort uint16, pa *participant.Participant, log zerolog.Logger) ([]*http.Server, error) {
 	handlers := []endpoint{
-		{set.CallerAddress, pa.ClientHandler()},
-		{set.ReadinessAddress, pa.ReadinessHandler()},
-		{set.MetricsAddress, pa.OperatorHandler()},
+		{participant.CallerListener, set.CallerAddress, pa.ClientHandler()},
+		{participant.ReadinessListener, set.ReadinessAddress, pa.ReadinessHandler()},
+		{participant.OperatorListener, set.MetricsAddress, pa.OperatorHandler()},
 	}
 	if host, _, err := net.SplitHostPort(set.MetricsAddress); err == nil && metricsPort > 0 {
-		handlers = append(handlers, endpoint{net.JoinHostPort(host, strconv.Itoa(int(metricsPort))), pa.MetricsHandler()})
+		handlers = append(handlers, endpoint{participant.MetricsListener, net.JoinHostPort(host, strconv.Itoa(int(metricsPort))), pa.MetricsHandler()})
 	}
 	var servers []*http.Server
 	for _, ha := range handlers {
 		if ha.address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", ha.address)
+		ln, err := gatekeeper.Listen(context.Background(), ha.address)
 		if err != nil {
 			return nil, fmt.Errorf("%w; stop the process that uses the address or change the address in the settings", err)
 		}
-		sv := &http.Server{Handler: ha.handler}
+		ln = pa.Gatekeeper().Guard(ln, ha.name)
+		sv := pa.Gatekeeper().Server(ha.handler)
 		servers = append(servers, sv)
 		go func() {
 			if err := sv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -157,7 +164,7 @@
 		return fmt.Errorf("%w; stop the process that uses the address or change the address in the settings", err)
 	}
 	go func() {
-		if err := pa.ServePeers(ln); err != nil {
+		if err := pa.ServePeers(pa.Gatekeeper().GuardMessages(ln, participant.PeerListener)); err != nil {
 			log.Error().Err(err).Str("address", address).Msg("listenerFailed")
 		}
 	}()
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -4,6 +4,7 @@
 package participant
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -14,18 +15,22 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/shedder"
 	"github.com/wagtailcroft/wagtailcroft/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/controller"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/dialer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/follower"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/gatekeeper"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/intake"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/messenger"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/overseer"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/replier"
 )
 
 const (
@@ -39,6 +44,28 @@
 
 	// counterLogPeriod is the time between two log lines with the counters.
 	counterLogPeriod = 10 * clock.Second
+
+	// CallerListener is the listener of callers.
+	CallerListener shedder.Listener = "callers"
+	// ReadinessListener is the listener of the platform's readiness checks.
+	ReadinessListener shedder.Listener = "readiness"
+	// OperatorListener is the listener of operators.
+	OperatorListener shedder.Listener = "operators"
+	// MetricsListener is the listener of the metrics as text.
+	MetricsListener shedder.Listener = "metrics"
+	// PeerListener is the listener of other instances.
+	PeerListener shedder.Listener = "peers"
+
+	// maxCheckConnections, maxOperatorConnections and maxPeerConnections limit the connections of those who
+	// check readiness or read metrics, of operators, and of one machine with other instances. Another
+	// instance has at most four: its calls, its watch of the leader, a ping and one that is being replaced.
+	maxCheckConnections    = 16
+	maxOperatorConnections = 32
+	maxPeerConnections     = 16
+	// operatorBodyLimit is the limit of the body of an operator's call, and peerMessageLimit that of a
+	// message of another instance; both are far above what is sent.
+	operatorBodyLimit meter.Bytes = 64 << 10
+	peerMessageLimit  meter.Bytes = 64 << 10
 )
 
 type (
@@ -77,6 +104,7 @@
 		overseer   *overseer.Overseer
 		dialer     *dialer.Dialer
 		messenger  *messenger.Messenger
+		gatekeeper *gatekeeper.Gatekeeper
 		tracer     *tracer.Tracer
 		// stopping is set when shutdown begins and never cleared.
 		stopping atomic.Bool
@@ -116,16 +144,49 @@
 		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower, Metrics: de.Metrics,
 		Caller: pa.dialer, Tracer: de.Tracer, Log: de.Log,
 	})
+	pa.gatekeeper = gatekeeper.New(gatekeeper.Options{
+		Options:       shedder.Options{Connections: set.ConnectionLimit, Memory: set.RequestMemory, BodyTimeout: set.BodyTimeoutMillis},
+		Listeners:     listeners(set.ConnectionLimit),
+		Heads:         pa.headLimits,
+		AnswerTimeout: set.AnswerTimeoutMillis, MessageLimit: peerMessageLimit, Clock: de.Clock, Metrics: de.Metrics, Log: de.Log,
+	})
 	return pa
 }
 
+// listeners returns the limits of the listeners, as parts of the limit of all connections. Callers cannot take
+// all of them, so that the platform, operators and other instances get through.
+func listeners(connections int) map[shedder.Listener]shedder.Limits {
+	few, most := max(connections/8, 2), connections*3/4
+	return map[shedder.Listener]shedder.Limits{
+		CallerListener:    {Connections: most},
+		ReadinessListener: {Connections: min(few, maxCheckConnections)},
+		OperatorListener:  {Connections: min(few, maxOperatorConnections)},
+		MetricsListener:   {Connections: min(few, maxCheckConnections)},
+		PeerListener:      {Connections: most, PerAddress: maxPeerConnections, KeepsQuiet: true},
+	}
+}
+
+// headLimits returns the limits of the configuration in force, or of the settings where it states none.
+func (pa *Participant) headLimits() gatekeeper.HeadLimits {
+	limits := gatekeeper.HeadLimits{Bytes: pa.set.HeadLimit, Timeout: pa.set.HeadTimeoutMillis}
+	if po := pa.follower.Current(); po != nil {
+		limits.Bytes, limits.Timeout = cmp.Or(po.HeadLimit, limits.Bytes), cmp.Or(po.HeadTimeout, limits.Timeout)
+	}
+	return limits
+}
+
+// Gatekeeper returns what guards the listeners.
+func (pa *Participant) Gatekeeper() *gatekeeper.Gatekeeper { return pa.gatekeeper }
+
 // ClientHandler returns the handler of the client API.
 func (pa *Participant) ClientHandler() http.Handler {
 	return pa.tracer.Handler("entry.caller", platform.NewCallerHandler(pa.intake, pa.cl))
 }
 
 // OperatorHandler returns the handler of the operator API and of the metrics.
-func (pa *Participant) OperatorHandler() http.Handler { return pa.overseer.Handler() }
+func (pa *Participant) OperatorHandler() http.Handler {
+	return replier.LimitBody(operatorBodyLimit, pa.overseer.Handler())
+}
 
 // MetricsHandler returns the handler of the metrics as text.
 func (pa *Participant) MetricsHandler() http.Handler {
@@ -157,6 +218,7 @@
 	loops.Go(func() { pa.controller.Run(leading, ctx) })
 	loops.Go(func() { pa.messenger.Run(ctx, pa.controller.Leading) })
 	loops.Go(func() { pa.logCounters(ctx) })
+	loops.Go(func() { pa.gatekeeper.Run(ctx) })
 	select {
 	case <-ctx.Done():
 	case <-stop:
