Give connections small kernel buffers, and say in one line what was shed

Cause: unread bytes in the kernel's buffers count as memory of the machine, and 64 KiB each way for 768 connections are more than the smallest has left. A refused head or message was counted without its listener and not logged.

Change: 16 KiB each way; every reason goes through the same counter and log line. Fuzz target for the calls of other instances.

--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -31,8 +31,9 @@
 	// conn is a connection that tells the shedder what it does.
 	conn struct {
 		net.Conn
-		ga *Gatekeeper
-		id shedder.Conn
+		ga       *Gatekeeper
+		listener shedder.Listener
+		id       shedder.Conn
 
 		// The fields below are guarded by ga.mu. messages is nil for HTTP. phase is that of the request in progress, and head what has
 		// been received of its head; kept is the size of what its handler has read of its body.
@@ -130,7 +131,7 @@
 
 // refuse answers that the head is too large, and waits until the client has read that.
 func (co *conn) refuse() {
-	co.ga.Metrics.Count("clientsShed", "head.tooLarge")
+	co.ga.note(co.listener, headTooLarge)
 	co.enter(shedder.Refused)
 	_ = co.SetDeadline(time.Now().Add(lingerTime.Duration())) // without a deadline, the shedder closes it
 	if _, err := io.WriteString(co.Conn, refusal); err == nil && co.CloseWrite() == nil {
--- a/wagtailcroftd/gatekeeper/gatekeeper.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper.go
@@ -25,6 +25,13 @@
 	// maxHeadBytes is the limit of net/http itself, which ends a head that the scanner has lost track of
 	// because it was received together with the request before it.
 	maxHeadBytes = 1 << 20
+
+	// headTooLarge means that a head was refused with 431.
+	headTooLarge shedder.Reason = "headTooLarge"
+	// messageTooLarge means that another instance sent too large a message, or too many at once.
+	messageTooLarge shedder.Reason = "messageTooLarge"
+	// noDescriptors means that the machine had no descriptors for a connection.
+	noDescriptors shedder.Reason = "descriptors"
 )
 
 type (
@@ -160,6 +167,13 @@
 	ga.Metrics.Count("clientsShed", string(li)+"."+string(re))
 }
 
+// note counts a connection that is closed for a reason of this package.
+func (ga *Gatekeeper) note(li shedder.Listener, re shedder.Reason) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.count(li, re)
+}
+
 // remove counts victims and returns their connections. The caller must hold mu, and reset them when it no
 // longer does.
 func (ga *Gatekeeper) remove(victims []shedder.Victim) []*conn {
--- a/wagtailcroftd/gatekeeper/gatekeeper_test.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper_test.go
@@ -84,6 +84,23 @@
 	return ri
 }
 
+// newPeerRig serves net/rpc calls.
+func newPeerRig(t testing.TB) *rig {
+	t.Helper()
+	ri := &rig{cl: clock.NewFake(0)}
+	ri.ga = newGatekeeper(ri.cl)
+	ln, sv := listen(t), rpc.NewServer()
+	ri.address = ln.Addr().String()
+	asserter.NoError(t, sv.Register(Echo{}))
+	guarded := ri.ga.GuardMessages(ln, front)
+	go func() {
+		for nc, err := guarded.Accept(); err == nil; nc, err = guarded.Accept() {
+			go sv.ServeConn(nc)
+		}
+	}()
+	return ri
+}
+
 // dial opens a connection that sends a text.
 func (ri *rig) dial(t testing.TB, text string) net.Conn {
 	t.Helper()
@@ -222,16 +239,7 @@
 
 func TestMessages(t *testing.T) {
 	t.Run("calls of another instance are answered", func(t *testing.T) {
-		ga, ln := newGatekeeper(clock.NewFake(0)), listen(t)
-		sv := rpc.NewServer()
-		asserter.NoError(t, sv.Register(Echo{}))
-		guarded := ga.GuardMessages(ln, front)
-		go func() {
-			for nc, err := guarded.Accept(); err == nil; nc, err = guarded.Accept() {
-				go sv.ServeConn(nc)
-			}
-		}()
-		client, err := rpc.Dial("tcp", ln.Addr().String())
+		client, err := rpc.Dial("tcp", newPeerRig(t).address)
 		asserter.NoError(t, err)
 		defer func() { _ = client.Close() }()
 		for range 2 * maxUnanswered {
@@ -300,11 +308,35 @@
 		f.Add([]byte(text))
 	}
 	ri := newRig(f)
-	f.Fuzz(func(t *testing.T, text []byte) {
-		nc := ri.dial(t, string(text))
-		asserter.NoError(t, nc.(*net.TCPConn).CloseWrite()) //nolint:forcetypeassert // a TCP connection
-		_, _ = io.Copy(io.Discard, nc)                      // what is answered is of no interest
-		asserter.NoError(t, nc.Close())
-		ri.awaitHeld(t, 0, false)
-	})
+	f.Fuzz(func(t *testing.T, text []byte) { ri.assertForgets(t, text) })
+}
+
+// FuzzPeerCalls is like FuzzRequests for net/rpc calls of other instances.
+func FuzzPeerCalls(f *testing.F) {
+	var text bytes.Buffer
+	en := gob.NewEncoder(&text)
+	for _, message := range []any{rpc.Request{ServiceMethod: "Echo.Say", Seq: 1}, "text", rpc.Request{ServiceMethod: "Echo.Say", Seq: 2}, 7, rpc.Request{ServiceMethod: "None"}, []string{"a"}} {
+		asserter.NoError(f, en.Encode(message))
+		f.Add(bytes.Clone(text.Bytes()))
+	}
+	f.Add([]byte("\xfc\x3f\xff\xff\xff"))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	ri := newPeerRig(f)
+	f.Fuzz(func(t *testing.T, text []byte) { ri.assertForgets(t, text) })
+}
+
+// assertForgets sends a text, ends the connection and checks that nothing of it is held.
+func (ri *rig) assertForgets(t *testing.T, text []byte) {
+	t.Helper()
+	nc, err := net.Dial("tcp", ri.address)
+	asserter.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	asserter.NoError(t, nc.SetDeadline(time.Now().Add(hangTime)))
+	_, _ = nc.Write(text) // it may be refused before its end
+	if tc, is := nc.(*net.TCPConn); is {
+		_ = tc.CloseWrite() // it may be closed already
+	}
+	_, _ = io.Copy(io.Discard, nc) // what is answered is of no interest
+	_ = nc.Close()
+	ri.awaitHeld(t, 0, false)
 }
--- a/wagtailcroftd/gatekeeper/listener.go
+++ b/wagtailcroftd/gatekeeper/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -13,13 +14,16 @@
 )
 
 const (
-	// socketBuffer is the size of the kernel's buffers of a connection, which count as memory of the
-	// machine; without a limit, the kernel lets them grow to megabytes.
-	socketBuffer = 64 << 10
+	// socketBuffer is the size of each of the two buffers that the kernel keeps for a connection. They count
+	// as memory of the machine, and without a limit the kernel lets them grow to megabytes.
+	socketBuffer = 16 << 10
 	// acceptPause is the pause after a connection could not be taken for want of descriptors.
 	acceptPause = 100 * clock.Millis(1)
 )
 
+// passing are errors after which a listener goes on.
+var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
+
 // listener takes the connections that the shedder admits.
 type listener struct {
 	net.Listener
@@ -56,8 +60,8 @@
 	for {
 		nc, err := li.Listener.Accept()
 		switch {
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ECONNABORTED):
-			li.ga.Metrics.Count("clientsShed", string(li.name)+".descriptors")
+		case slices.ContainsFunc(passing, func(cause error) bool { return errors.Is(err, cause) }):
+			li.ga.note(li.name, noDescriptors)
 			<-li.ga.Clock.After(acceptPause)
 			continue
 		case err != nil:
@@ -85,7 +89,7 @@
 		ga.mu.Unlock()
 		return nil
 	}
-	co := &conn{Conn: nc, ga: ga, id: id}
+	co := &conn{Conn: nc, ga: ga, listener: li.name, id: id}
 	if li.peers {
 		co.messages = &messages{limit: uint64(ga.MessageLimit)}
 	}
--- a/wagtailcroftd/gatekeeper/messages.go
+++ b/wagtailcroftd/gatekeeper/messages.go
@@ -99,7 +99,7 @@
 		return len(next)
 	})
 	if err != nil {
-		co.ga.Metrics.Count("clientsShed", "peers.message")
+		co.ga.note(co.listener, messageTooLarge)
 	}
 	if gone || err != nil {
 		return 0, io.EOF
