Do not take a client that leaves, or an impossible id, for a failure of the store

Cause: a call to the store that ended because its client had disconnected, or waited 60 ms while the store took longer, was recorded as a failure of the store; so was a GET or DELETE for an id that the store refuses as a key (over 200 bytes), also an operator's. The instance was then not ready and refused all submissions with 503 for 0.25 s, so that one client that repeats this keeps everybody out. An id of 30 KB was logged whole.

Change: a failure counts only while its caller still waits, or after the timeout of the first attempt; ids that are longer than any job's are unknown without asking the store. The stand-in refuses long keys as the platform does. What a connection holds is counted anew after each answer, also for requests received together.

--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -21,6 +21,8 @@
 	readLatency  = 4 * time.Millisecond
 	// maxRowsPerReply is the maximum number of rows in a reply.
 	maxRowsPerReply = 500
+	// maxKeyBytes is the length of the longest key.
+	maxKeyBytes = 200
 	// maxRowBytes is the largest value of a row.
 	maxRowBytes = 65_536
 	// maxTransactionEntries is the maximum number of entries in a transaction.
@@ -205,6 +207,10 @@
 	if err != nil || limit <= 0 || limit > maxRowsPerReply {
 		limit = maxRowsPerReply
 	}
+	if len(from) > maxKeyBytes {
+		http.Error(wr, "the key is too long", http.StatusBadRequest)
+		return
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.ReadCount++
--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -118,6 +118,14 @@
 	})
 }
 
+// answered notes that a request has been answered. The next one may have been received with it.
+func (co *conn) answered() {
+	co.update(func() int {
+		co.phase, co.head, co.kept = shedder.Idle, shedder.HeadScanner{}, 0
+		return 0
+	})
+}
+
 // headComplete notes that the server has read a head. It may have been received together with the request
 // before it.
 func (co *conn) headComplete() {
--- a/wagtailcroftd/gatekeeper/gatekeeper.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper.go
@@ -109,7 +109,7 @@
 			case http.StateActive:
 				co.headComplete()
 			case http.StateIdle:
-				co.enter(shedder.Idle)
+				co.answered()
 			default:
 			}
 		},
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -46,6 +46,9 @@
 	// before.
 	minAttemptTimeout = 250 * clock.Millis(1)
 	timeoutFactor     = 3
+	// maxIDBytes is above the length of every job ID. The store refuses keys of more than 200 bytes, which
+	// would look like a failure of the store.
+	maxIDBytes = 64
 	// retryPause is the pause between two attempts.
 	retryPause = 30 * clock.Millis(1)
 )
@@ -231,7 +234,7 @@
 		err = problem.New(problem.UnknownJob, "the workspace has no job %s", id)
 	}
 	if problem.KindOf(err) == problem.UnknownJob {
-		in.log.Info().Str("job", string(id)).Str("queue", string(ac.Queue.Name)).Str("workspace", string(ac.Workspace)).Msg("jobUnknown")
+		in.log.Info().Str("job", string(id[:min(len(id), maxIDBytes)])).Str("queue", string(ac.Queue.Name)).Str("workspace", string(ac.Workspace)).Msg("jobUnknown")
 	}
 	if err != nil {
 		return 0, err
@@ -252,6 +255,9 @@
 
 // find reads the row of a job from the tables of current and of ended jobs.
 func (in *Intake) find(ctx context.Context, id identifier.Job) (ledger.Progress, error) {
+	if len(id) > maxIDBytes {
+		return ledger.Progress{}, problem.New(problem.UnknownJob, "a job ID has at most %d bytes", maxIDBytes)
+	}
 	for _, table := range []rowstore.Table{recorder.Jobs, recorder.EndedJobs} {
 		row, err := in.read(ctx, recorder.JobKey(table, id))
 		if err != nil {
@@ -266,6 +272,9 @@
 
 // Cancel records a cancellation request for a job. It has no effect on a job that has ended.
 func (in *Intake) Cancel(ctx context.Context, ac policy.Access, id identifier.Job) error {
+	if len(id) > maxIDBytes {
+		return problem.New(problem.UnknownJob, "a job ID has at most %d bytes", maxIDBytes)
+	}
 	row, err := in.read(ctx, recorder.JobKey(recorder.Jobs, id))
 	if err != nil {
 		return err
--- a/wagtailcroftd/intake/store.go
+++ b/wagtailcroftd/intake/store.go
@@ -10,20 +10,31 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 )
 
+// attempts are those of one store call.
+type attempts struct {
+	in *Intake
+	// caller ends when the caller has left or waits no longer.
+	caller context.Context
+	begun  clock.Millis
+	// timeout is that of the first attempt.
+	timeout clock.Millis
+}
+
 // write applies a transaction. If the store does not answer, write repeats the same transaction
 // until callTimeout, because only that tells whether it was applied. The error is a
 // *rowstore.ConflictError, of the kind StoreUnavailable if the transaction was definitely not
 // applied, or of the kind OutcomeUnknown.
-func (in *Intake) write(ctx context.Context, tr rowstore.Transaction) error {
-	ctx, cancelAll := in.cl.WithTimeout(ctx, callTimeout)
+func (in *Intake) write(caller context.Context, tr rowstore.Transaction) error {
+	ctx, cancelAll := in.cl.WithTimeout(caller, callTimeout)
 	defer cancelAll()
+	at := in.beginAttempts(caller)
 	uncertain := false
 	defer func() {
 		if uncertain {
 			in.endOverdue()
 		}
 	}()
-	for timeout := in.firstTimeout(); ; timeout *= timeoutFactor {
+	for timeout := at.timeout; ; timeout *= timeoutFactor {
 		began := in.cl.Now()
 		bound, cancel := in.cl.WithTimeout(ctx, timeout)
 		_, err := in.store.Write(bound, tr)
@@ -35,20 +46,22 @@
 			return err
 		case eris.Is(err, rowstore.ErrOutcomeUnknown):
 			if uncertain {
-				in.recordFailure(err) // two attempts without an answer: refuse new submissions for now
+				at.recordFailure(err) // two attempts without an answer: refuse new submissions for now
 			} else {
 				uncertain = true
 				in.beginOverdue()
 			}
-			in.store.CloseIdleConnections()
+			if at.triedEnough() {
+				in.store.CloseIdleConnections()
+			}
 		case !eris.Is(err, rowstore.ErrNotExecuted):
 			return err
 		case !uncertain:
-			in.recordFailure(err)
+			at.recordFailure(err)
 			return in.unavailable("%v", err)
 		}
 		if ctx.Err() != nil || !clock.Sleep(ctx, in.cl, retryPause) {
-			in.recordFailure(err)
+			at.recordFailure(err)
 			return problem.New(problem.OutcomeUnknown, "the store did not answer in time").WithRetryAfter(in.retryAfter())
 		}
 	}
@@ -56,10 +69,11 @@
 
 // read returns a row, which has version 0 if it is absent. Errors are of the kind
 // StoreUnavailable.
-func (in *Intake) read(ctx context.Context, key rowstore.Key) (rowstore.Row, error) {
-	ctx, cancelAll := in.cl.WithTimeout(ctx, callTimeout)
+func (in *Intake) read(caller context.Context, key rowstore.Key) (rowstore.Row, error) {
+	ctx, cancelAll := in.cl.WithTimeout(caller, callTimeout)
 	defer cancelAll()
-	for timeout := in.firstTimeout(); ; timeout *= timeoutFactor {
+	at := in.beginAttempts(caller)
+	for timeout := at.timeout; ; timeout *= timeoutFactor {
 		began := in.cl.Now()
 		bound, cancel := in.cl.WithTimeout(ctx, timeout)
 		page, err := in.store.Read(bound, key.Table, key.Name, key.Name+"\x00", 1)
@@ -71,14 +85,34 @@
 			}
 			return page.Rows[0], nil
 		}
-		in.store.CloseIdleConnections()
+		if at.triedEnough() {
+			in.store.CloseIdleConnections()
+		}
 		if ctx.Err() != nil || !clock.Sleep(ctx, in.cl, retryPause) {
-			in.recordFailure(err)
+			at.recordFailure(err)
 			return rowstore.Row{}, problem.New(problem.StoreUnavailable, "%v", err).WithRetryAfter(in.retryAfter())
 		}
 	}
 }
 
+// beginAttempts begins the attempts of a store call for a caller.
+func (in *Intake) beginAttempts(caller context.Context) attempts {
+	return attempts{in: in, caller: caller, begun: in.cl.Now(), timeout: in.firstTimeout()}
+}
+
+// triedEnough reports whether a failure is one of the store: a call that ended because its caller has left, or
+// waited less than the store may take, proves nothing.
+func (at attempts) triedEnough() bool {
+	return at.caller.Err() == nil || at.in.cl.Now()-at.begun >= at.timeout
+}
+
+// recordFailure records a failed store call.
+func (at attempts) recordFailure(err error) {
+	if at.triedEnough() {
+		at.in.recordFailure(err)
+	}
+}
+
 // beginOverdue records that the first attempt of a write was not answered.
 func (in *Intake) beginOverdue() {
 	in.mu.Lock()
