--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: help build demo test lint generate check-generated bench days journal-page fuzz soak process-soak faults slopes lines
+.PHONY: help build demo test lint generate check-generated bench days journal-page fuzz crowd soak process-soak faults slopes lines
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -23,7 +23,8 @@
 
 test: ## run all tests with the race detector and the lock-order check
 	@echo "known failing tests, skipped: $(if $(RED),$(RED),none)"
-	@for m in $(MODULES); do (cd $$m && go test -race -timeout 20m -tags rankcheck $(SKIP) ./...) || exit 1; done
+	@for m in $(filter-out soak,$(MODULES)); do (cd $$m && go test -race -timeout 20m -tags rankcheck $(SKIP) ./...) || exit 1; done
+	@cd soak && go test -p 1 -race -timeout 20m -tags rankcheck $(SKIP) ./...
 
 bench: build ## measure the scheduling policies and write docs/MEASUREMENTS.md
 	$(BIN)/bench run --commit $$(git rev-parse --short HEAD)
@@ -47,6 +48,9 @@
 	@seed=$$(date +%s); echo "WAGTAILCROFT_SEED=$$seed"; \
 	for m in $(MODULES); do (cd $$m && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=5000 go test -tags rankcheck -run 'Always|Invariants|Faults' ./...) || exit 1; done
 
+crowd: ## run the crowds of uncontrolled clients by hand: 1500 connections to a process on the smallest machine
+	cd soak && WAGTAILCROFT_CROWD=1500 WAGTAILCROFT_CROWD_MEMORY_MB=144 WAGTAILCROFT_CROWD_DESCRIPTORS=3075 go test -count=1 -v ./crowder
+
 soak: ## run 2000 random fault scenarios on several instances, with a new seed that is printed, about two minutes
 	@seed=$${WAGTAILCROFT_SEED:-$$(date +%s)}; echo "WAGTAILCROFT_SEED=$$seed"; \
 	cd wagtailcroftd && WAGTAILCROFT_SEED=$$seed WAGTAILCROFT_CHECKS=2000 go test -count=1 -timeout 20m -run TestRandomFaults ./participant
