Show dripping clients and unread calls of instances with tests, and count answers not taken

Cause: three patterns had no test of their own: heads and bodies that drip, and calls of other instances whose answers nobody reads. A client that was disconnected because it took no answer was not counted.

Change: three tests with the crowd and bounds of the others, the reason slowAnswer, tests of a listener without descriptors and of an answer that is not taken.

--- a/soak/crowder/crowder_test.go
+++ b/soak/crowder/crowder_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/rpc"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +19,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/platform/wire"
+	"github.com/wagtailcroft/wagtailcroft/shared/gen/peer"
 	"github.com/wagtailcroft/wagtailcroft/soak/crowder"
 	"github.com/wagtailcroft/wagtailcroft/soak/launcher"
 	"github.com/wagtailcroft/wagtailcroft/standin/fleet"
@@ -335,6 +338,30 @@
 	assertOutlasts(t, "peers", crowder.Text("\xfc\x3f\xff\xff\xff"+strings.Repeat("a", endless)))
 }
 
+// TestCrowdPeersManyCalls sends calls of another instance without reading the answers.
+func TestCrowdPeersManyCalls(t *testing.T) {
+	var text strings.Builder
+	en := gob.NewEncoder(&text)
+	for i := range uint64(20_000) {
+		if err := en.Encode(rpc.Request{ServiceMethod: "Messenger.Ping", Seq: i}); err != nil {
+			t.Fatal(err)
+		}
+		if err := en.Encode(peer.Ping{Instance: "front-1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	assertOutlasts(t, "peers", crowder.Text(text.String()))
+}
+
+func TestCrowdHeadsDripping(t *testing.T) {
+	assertOutlasts(t, "callers", crowder.Pieces(crowder.Head(1), 1, 20))
+}
+
+func TestCrowdBodiesDripping(t *testing.T) {
+	text := crowder.Post(id(), key, "Content-Length: "+strconv.Itoa(bodyLimit)+"\r\n")
+	assertOutlasts(t, "callers", crowder.Pieces(text+spec(8<<10), 256, 50))
+}
+
 // TestSingleLargestRequest checks that a request of the largest legal size gets an answer in calm.
 func TestSingleLargestRequest(t *testing.T) {
 	ri := newRig(t)
--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -1,8 +1,10 @@
 package gatekeeper
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/shedder"
@@ -156,6 +158,9 @@
 	})
 	_ = co.SetWriteDeadline(time.Now().Add(co.ga.AnswerTimeout.Duration())) // a closed connection fails below
 	n, err := co.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		co.ga.note(co.listener, slowAnswer)
+	}
 	co.update(func() int {
 		co.phase = before
 		if co.messages == nil {
--- a/wagtailcroftd/gatekeeper/gatekeeper.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper.go
@@ -30,6 +30,8 @@
 	headTooLarge shedder.Reason = "headTooLarge"
 	// messageTooLarge means that another instance sent too large a message, or too many at once.
 	messageTooLarge shedder.Reason = "messageTooLarge"
+	// slowAnswer means that a client did not take an answer in time.
+	slowAnswer shedder.Reason = "slowAnswer"
 	// noDescriptors means that the machine had no descriptors for a connection.
 	noDescriptors shedder.Reason = "descriptors"
 )
--- a/wagtailcroftd/gatekeeper/gatekeeper_test.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/rpc"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,6 +41,12 @@
 
 	quietMetrics struct{}
 
+	// poorListener has no descriptors for the first connection.
+	poorListener struct {
+		net.Listener
+		tried bool
+	}
+
 	// Echo is a net/rpc service.
 	Echo struct{}
 )
@@ -237,6 +246,53 @@
 	})
 }
 
+// Accept fails once.
+func (po *poorListener) Accept() (net.Conn, error) {
+	if !po.tried {
+		po.tried = true
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return po.Listener.Accept()
+}
+
+func TestDescriptors(t *testing.T) {
+	t.Run("a listener without descriptors goes on after a while", func(t *testing.T) {
+		cl, ln := clock.NewRuntime(), listen(t)
+		guarded := newGatekeeper(cl).Guard(&poorListener{Listener: ln}, front)
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		asserter.NoError(t, err)
+		defer func() { _ = nc.Close() }()
+		accepted, err := guarded.Accept()
+		asserter.NoError(t, err)
+		asserter.NoError(t, accepted.Close())
+	})
+	t.Run("a closed listener ends", func(t *testing.T) {
+		ln := listen(t)
+		asserter.NoError(t, ln.Close())
+		if _, err := newGatekeeper(clock.NewRuntime()).Guard(ln, front).Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	t.Run("a client that does not take its answer is disconnected", func(t *testing.T) {
+		ri := newRig(t)
+		ri.ga.AnswerTimeout = 50
+		nc := ri.dial(t, "")
+		go func() { _, _ = io.WriteString(nc, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100_000)) }() // it is cut off
+		for end := time.Now().Add(hangTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			ri.ga.mu.Lock()
+			count := ri.ga.closed[cause{front, slowAnswer}]
+			ri.ga.mu.Unlock()
+			if count > 0 {
+				return
+			}
+		}
+		t.Fatalf("it is connected after %v", hangTime)
+	})
+}
+
 func TestMessages(t *testing.T) {
 	t.Run("calls of another instance are answered", func(t *testing.T) {
 		client, err := rpc.Dial("tcp", newPeerRig(t).address)
