Tell sooner that workers differ

Change: the runs of a step are compared with each other as they are, and runs on unknown workers count among them.

--- a/bench/cmd_days.go
+++ b/bench/cmd_days.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -63,8 +64,7 @@
 		pooled := lo.Pooled()
 		rows = append(rows, reporter.DayRow{Load: lo.Name, Policy: "completion, all room in one", Results: simulateDays(pooled, planner.New(planner.Completion), fl.seeds)})
 	}
-	rows = append(rows, unevenDays(fl.seeds)...)
-	text := reporter.DayTables(rows, fl.commit, fl.seeds)
+	text := reporter.DayTables(append(slices.Clone(rows), unevenDays(fl.seeds)...), fl.commit, fl.seeds)
 	fmt.Print(text)
 	if err := reporter.DayPart.Replace(filepath.Join(fl.docs, measurementsPage), text); err != nil {
 		return err
--- a/bench/simulator/knowledge.go
+++ b/bench/simulator/knowledge.go
@@ -11,19 +11,18 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// What the policy knows of the speeds of the workers.
 const (
+	// pollInterval is the time between two reports of the progress of a worker's runs.
+	pollInterval = 1000 * clock.Millis(1)
+
 	// KnowsNothing means that all workers look alike.
-	KnowsNothing Knowledge = iota
+	KnowsNothing Knowledge = 0
 	// Learns means that speeds are learned from runs, as in package controller.
-	Learns
+	Learns Knowledge = 1
 	// KnowsAll means that all speeds are known from the start, which bounds what can be learned.
-	KnowsAll
+	KnowsAll Knowledge = 2
 )
 
-// pollInterval is the time between two reports of the progress of a worker's runs.
-const pollInterval = 1000 * clock.Millis(1)
-
 // Knowledge is what the policy knows of the speeds of the workers.
 type Knowledge int
 
--- a/decisions/gauger/estimate.go
+++ b/decisions/gauger/estimate.go
@@ -49,12 +49,18 @@
 	return scale * dp, scale * ds
 }
 
-// add takes in a prediction for a run of a step and what was seen.
-func (ev *evidence) add(st *step, predicted, seen float64) {
-	of := &st.contrast
+// add takes in what was predicted for a run. The first run of a step is compared with what is usual for its
+// kind.
+func (ev *evidence) add(sa *sample, predicted float64) {
+	st := sa.step
+	of, seen := &st.contrast, sa.total
 	if of.count == 0 {
-		of = &st.kind.contrast
 		st.contrast = contrast{count: 1, predicted: predicted, seen: seen}
+		usual, _ := st.kind.usual(st)
+		if st.kind.count < minRecent {
+			return
+		}
+		of, seen = &st.kind.contrast, seen-usual
 	}
 	dp, ds := of.take(predicted, seen)
 	dp, ds = min(max(dp, -maxDifference), maxDifference), min(max(ds, -maxDifference), maxDifference)
--- a/decisions/gauger/gauger.go
+++ b/decisions/gauger/gauger.go
@@ -185,9 +185,9 @@
 		re.samples = re.samples[:0]
 		re.regain()
 	}
+	ga.evidence.add(&sa, re.known.mean)
 	if len(re.samples) > 0 {
 		if expected, variance := sa.step.expected(sa); variance < maxUncertainty {
-			ga.evidence.add(sa.step, re.known.mean, sa.total-expected)
 			sa.step.kind.noteError(sa.total-expected-re.known.mean, re.known.variance+variance+sa.noise())
 		}
 	}
