Show operators the speeds of workers

Change: workers list shows the run time against a normal worker, on how many runs it rests and its age; why names the slowest worker of a step, and that the job is late because of it; runFactors counts started runs by the factor of their worker. Result: tests of wagtailcroft, controller and participant pass (the latter two with the lock-order check).

--- a/shared/gen/operator/operator.go
+++ b/shared/gen/operator/operator.go
@@ -291,6 +291,15 @@
 	// Rack Identifies a rack.
 	Rack externalRef0.RackID `json:"rack,omitempty"`
 
+	// RunTimePercent Run time of tasks on the worker as a percentage of that on a normal one; 100 as long as nothing shows that workers differ.
+	RunTimePercent int `json:"runTimePercent,omitempty"`
+
+	// SpeedAgeMillis Time since one of these runs last told something.
+	SpeedAgeMillis externalRef0.Millis `json:"speedAgeMillis,omitempty"`
+
+	// SpeedRuns Number of runs on which the percentage rests.
+	SpeedRuns int `json:"speedRuns,omitempty"`
+
 	// State Leaving means drained by the platform, draining means drained by an operator, and silent means unresponsive.
 	State TargetViewState `json:"state"`
 
--- a/wagtailcroft/cmd_targets_list.go
+++ b/wagtailcroft/cmd_targets_list.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroft/printer"
 )
@@ -20,7 +21,7 @@
 		},
 	}
 
-	targetHeader = []string{"target", "kind", "zone", "rack", "accelerators", "free", "tasks", "state"}
+	targetHeader = []string{"target", "kind", "zone", "rack", "accelerators", "free", "tasks", "run time", "state"}
 )
 
 // listTargets prints the targets of a kind, or all targets if kind is empty.
@@ -49,6 +50,7 @@
 		strconv.Itoa(int(target.Accelerators)),
 		formatFree(target),
 		strconv.Itoa(len(target.Tasks)),
+		formatSpeed(target),
 		string(target.State),
 	}
 }
@@ -61,3 +63,12 @@
 	}
 	return fmt.Sprintf("%d, %d cores", target.FreeAccelerators, target.FreeMilliCores/1000)
 }
+
+// formatSpeed formats the run time of tasks on a worker against that on a normal one, on how many runs that
+// rests, and how old it is. It returns an empty string if no run has told of it.
+func formatSpeed(target operator.TargetView) string {
+	if target.SpeedRuns == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d%%, %d runs, %d s ago", target.RunTimePercent, target.SpeedRuns, target.SpeedAgeMillis/clock.Second)
+}
--- a/wagtailcroft/step_jobs_test.go
+++ b/wagtailcroft/step_jobs_test.go
@@ -34,7 +34,7 @@
 		"/v1/jobs/" + string(jo.JobID):          jo,
 		"/v1/jobs/" + string(jo.JobID) + "/why": operator.Why{JobID: jo.JobID, State: jo.State, Lines: jo.Why},
 		"/v1/targets": operator.TargetList{Targets: []operator.TargetView{
-			{TargetID: "w1", Kind: operator.TargetViewKindWorker, Pool: "desk", Accelerators: 8, FreeAccelerators: 3, FreeMilliCores: 12000, Tasks: []string{"a", "b"}, State: operator.TargetViewStateSilent},
+			{TargetID: "w1", Kind: operator.TargetViewKindWorker, Pool: "desk", Accelerators: 8, FreeAccelerators: 3, FreeMilliCores: 12000, Tasks: []string{"a", "b"}, RunTimePercent: 160, SpeedRuns: 7, SpeedAgeMillis: 4000, State: operator.TargetViewStateSilent},
 		}},
 		"/v1/workspaces": operator.WorkspaceList{Workspaces: []operator.WorkspaceView{{Workspace: "studio", Guaranteed: 72, Used: 16, Borrowed: 8, Waiting: 32, Jobs: 5}}},
 	})
@@ -46,7 +46,7 @@
 	})
 	t.Run("workers show their free capacity and tasks", func(t *testing.T) {
 		cli.t = t
-		cli.exec("workers list").expectOutput("w1", "3, 12 cores", "2", "silent").expectCode(0)
+		cli.exec("workers list").expectOutput("w1", "3, 12 cores", "2", "160%, 7 runs, 4 s ago", "silent").expectCode(0)
 	})
 	t.Run("workspaces show guaranteed and borrowed accelerators", func(t *testing.T) {
 		cli.t = t
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -294,6 +294,7 @@
 		te.workers[pl.Worker].runs[key] = &placement{run: run, incarnation: pl.Incarnation, dueSince: now, speed: throttler.FullSpeed}
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
 			Float64("factor", te.factorOf(te.workers[pl.Worker], now)).Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
+		te.countFactor(te.workers[pl.Worker], now)
 	}
 	if run == 1 {
 		te.Metrics.Observe("wait", now-te.jobs[st.Job.ID].learnedAt)
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -1,16 +1,29 @@
 package controller
 
 import (
+	"fmt"
+
 	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
+	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// completeProgress is the progress of a run that has done all its work.
-const completeProgress = 100 * meter.Percent(1)
+const (
+	// completeProgress is the progress of a run that has done all its work.
+	completeProgress = 100 * meter.Percent(1)
+	// slowFactor is the factor from which on a worker is named as slow.
+	slowFactor = 1.1
+)
+
+// factorBounds are the upper bounds of the factors that are counted together, and their labels.
+var factorBounds = []struct {
+	most  float64
+	label string
+}{{0.55, "0.55"}, {0.75, "0.75"}, {0.9, "0.9"}, {1.1, "1.1"}, {1.35, "1.35"}, {1.8, "1.8"}, {3, "3"}}
 
 // origin is from where the progress of a run is counted, because its start is not known.
 type origin struct {
@@ -146,3 +159,40 @@
 	}
 	return clock.Millis(float64(ran) / factor)
 }
+
+// countFactor counts a run that starts by the factor of its worker.
+func (te *term) countFactor(wo *worker, now clock.Millis) {
+	factor := te.factorOf(wo, now)
+	for _, bo := range factorBounds {
+		if factor <= bo.most {
+			te.Metrics.Count("runFactors", bo.label)
+			return
+		}
+	}
+	te.Metrics.Count("runFactors", "more")
+}
+
+// explainSpeed describes the slowest worker of a stage that is at work, and whether the job misses its
+// objective because of it. It is empty if no worker is known to be slow.
+func (te *term) explainSpeed(jo *workload.Job, st *workload.Stage, qu *policy.Queue) string {
+	now := te.Clock.Now()
+	var slowest *worker
+	var known gauger.Gauge
+	for i := range st.Tasks {
+		if wo := te.workers[st.Tasks[i].Worker]; wo != nil && st.Tasks[i].Held() {
+			if ga := te.gauger.Gauge(wo.id, wo.report.Incarnation, now); slowest == nil || ga.Factor > known.Factor {
+				slowest, known = wo, ga
+			}
+		}
+	}
+	if slowest == nil || known.Factor < slowFactor {
+		return ""
+	}
+	text := fmt.Sprintf("; the slowest worker, %s, takes %.0f%% of the usual time, known from %d runs", slowest.id, 100*known.Factor, known.Runs)
+	ran := te.predictor.ExpectedRunTime(jo.Queue, jo.StepOf(st).Estimate)
+	objective := clock.Millis(qu.SlowdownFactor*float64(ran)) + qu.Objective
+	if len(jo.Steps) == 1 && qu.SlowdownFactor > 0 && ran <= objective && clock.Millis(float64(ran)*known.Factor) > objective {
+		text += ": the job is late because of slow workers"
+	}
+	return text
+}
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -61,6 +62,9 @@
 		State  WorkerState
 		Free   workload.Resources
 		Tasks  []workload.TaskKey
+		// Speed is what is known of the worker's speed, and SpeedAge the time since a run last told of it.
+		Speed    gauger.Gauge
+		SpeedAge clock.Millis
 	}
 )
 
@@ -92,6 +96,9 @@
 func (te *term) viewWorker(wo *worker, now clock.Millis) WorkerView {
 	view := WorkerView{Report: wo.report, Free: wo.report.Capacity}
 	view.Report.ID = wo.id
+	if view.Speed = te.gauger.Gauge(wo.id, wo.report.Incarnation, now); view.Speed.Runs > 0 {
+		view.SpeedAge = now - view.Speed.At
+	}
 	switch {
 	case wo.report.Draining || wo.inMaintenance:
 		view.State = WorkerDraining
@@ -166,7 +173,7 @@
 	case !jo.Ready(st):
 		return fmt.Sprintf("%s: waiting for steps %v to complete", name, step.After)
 	case waiting == 0:
-		return fmt.Sprintf("%s: %d tasks running, %d done", name, held, done)
+		return fmt.Sprintf("%s: %d tasks running, %d done%s", name, held, done, te.explainSpeed(jo, st, qu))
 	case qu.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks waiting for the advice service to approve workers", name, waiting)
 	}
--- a/wagtailcroftd/overseer/overview.go
+++ b/wagtailcroftd/overseer/overview.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"math"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -82,6 +83,7 @@
 		Accelerators: wo.Report.Capacity.Accelerators, State: targetStates[wo.State], Pool: string(wo.Report.Pool),
 		FreeAccelerators: wo.Free.Accelerators, FreeMilliCores: int64(wo.Free.CPU), Tasks: []string{},
 	}
+	out.RunTimePercent, out.SpeedRuns, out.SpeedAgeMillis = int(math.Round(100*wo.Speed.Factor)), wo.Speed.Runs, wo.SpeedAge
 	for _, key := range wo.Tasks {
 		out.Tasks = append(out.Tasks, key.String())
 	}
