--- a/standin/fleet/evacuations.go
+++ b/standin/fleet/evacuations.go
@@ -39,6 +39,13 @@
 	cl.Store.Put("servers", ru.id, ru.entry())
 }
 
+// SetSlowness sets by what a runner multiplies the run times of runs that start from now on.
+func (cl *Cluster) SetSlowness(at int, factor float64) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.runners[at].slowness = factor
+}
+
 // StartCountIn returns the number of runs that have been started in a zone.
 func (cl *Cluster) StartCountIn(zone string) int {
 	cl.mu.Lock()
--- a/standin/fleet/reports.go
+++ b/standin/fleet/reports.go
@@ -21,7 +21,7 @@
 func (ru *Runner) status() wire.RunnerReply {
 	out := wire.RunnerReply{ClockMs: ru.clock(), Born: ru.born.UnixMilli()}
 	for _, rn := range ru.sortedRuns() {
-		out.Running = append(out.Running, []any{rn.key.String(), rn.number, ru.checkpoint(rn, false), 100, ru.tailLatency(rn)})
+		out.Running = append(out.Running, []any{rn.key.String(), rn.number, ru.checkpoint(rn, false), ru.percent(rn), ru.tailLatency(rn)})
 	}
 	for i, co := range ru.completions {
 		if i == maxCompletionsPerReply {
--- a/standin/fleet/runner.go
+++ b/standin/fleet/runner.go
@@ -58,6 +58,8 @@
 		highestRun map[string]int64
 		// changed is closed and replaced when a run completes or the incarnation ends.
 		changed chan struct{}
+		// slowness multiplies the run times of runs that start; 0 counts as 1.
+		slowness float64
 		// failing makes every new run fail, and unhealthy refuses every start.
 		failing, unhealthy bool
 	}
@@ -72,6 +74,8 @@
 		gang       *gang
 		// timer fires when the run completes by itself.
 		timer *time.Timer
+		// slowness is that of the runner when the run started to work.
+		slowness float64
 		// working is false for a run that waits for the other members of its gang.
 		working bool
 		// speed is the percentage of full speed to which the run is throttled. It affects
@@ -244,12 +248,16 @@
 
 // startWork starts the work of a run and schedules its completion.
 func (ru *Runner) startWork(rn *run) {
-	rn.working, rn.startedAt = true, time.Now()
+	rn.working, rn.startedAt, rn.slowness = true, time.Now(), ru.slowness
+	if rn.slowness == 0 {
+		rn.slowness = 1
+	}
 	be := ru.cluster.behavior(rn.key)
 	how, left := "done", be.RunTime-rn.checkpoint
 	if int(rn.number) <= be.FailedRuns || ru.failing {
 		how, left = "failed", left/4
 	}
+	left = time.Duration(float64(left) * rn.slowness)
 	rn.timer = ru.cluster.afterFunc(max(left, 0), func() { ru.complete(rn, how) })
 }
 
@@ -258,7 +266,16 @@
 	if !rn.working {
 		return rn.checkpoint
 	}
-	return rn.checkpoint + time.Since(rn.startedAt)
+	return rn.checkpoint + time.Duration(float64(time.Since(rn.startedAt))/rn.slowness)
+}
+
+// percent returns the progress of a run in percent.
+func (ru *Runner) percent(rn *run) int {
+	whole := ru.cluster.behavior(rn.key).RunTime
+	if whole <= 0 {
+		return 0
+	}
+	return int(min(100*rn.progress()/whole, 100))
 }
 
 // checkpoint returns the checkpoint of a run, or an empty string if it has none. Unless exact
