Learn which images slow each other down, and weigh it in plans

Cause: tasks on one worker can slow each other down, and neither the planner nor the throttler knows which.

Change: decisions/separator compares each run with itself, with and without each neighbour, so that what makes a whole run slow (its worker, its work, far data) cancels out. For each disturbed image a small linear model gives the effect of each neighbour and its deviation; 32 images with 16 neighbours each are kept, the oldest are forgotten, and evidence fades with a time constant of 120 s. Separation is a planner.Cost; it is nil without evidence or named pairs. BestMove parts a running pair where that gains twice what it loses. throttler.Plan throttles known causes first, and harmless tasks no more than two decisions later.

Plans without evidence are the same.

--- a/decisions/throttler/throttler_test.go
+++ b/decisions/throttler/throttler_test.go
@@ -1,6 +1,7 @@
 package throttler_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
@@ -40,3 +41,37 @@
 		asserter.Equal(t, steps <= 4, true)
 	})
 }
+
+func TestPlan(t *testing.T) {
+	harmed := []throttler.Service{{TailLatency: 200, Target: 100}}
+	expectSpeeds := func(t *testing.T, tasks []throttler.Task, services []throttler.Service, spared int, want ...meter.Percent) {
+		t.Helper()
+		got, _ := throttler.Plan(tasks, services, spared)
+		asserter.Equal(t, fmt.Sprint(got), fmt.Sprint(want))
+	}
+	t.Run("the cause is throttled first, with all of which nothing is known", func(t *testing.T) {
+		expectSpeeds(t, []throttler.Task{{Speed: 100, Blame: throttler.Cause}, {Speed: 100, Blame: throttler.Harmless}, {Speed: 100}}, harmed, 0, 50, 100, 50)
+	})
+	t.Run("without evidence all are throttled alike", func(t *testing.T) {
+		expectSpeeds(t, []throttler.Task{{Speed: 100}, {Speed: 40}}, harmed, 0, 50, 20)
+	})
+	t.Run("harmless tasks are throttled too if no cause is running", func(t *testing.T) {
+		expectSpeeds(t, []throttler.Task{{Blame: throttler.Cause}, {Speed: 100, Blame: throttler.Harmless}}, harmed, 0, 0, 50)
+		expectSpeeds(t, []throttler.Task{{Speed: 100}, {Speed: 100, Blame: throttler.Harmless}}, harmed, 0, 50, 50)
+	})
+	t.Run("all are raised alike", func(t *testing.T) {
+		expectSpeeds(t, []throttler.Task{{Speed: 40, Blame: throttler.Cause}, {Speed: 40, Blame: throttler.Harmless}}, []throttler.Service{{TailLatency: 10, Target: 100}}, 0, 50, 50)
+	})
+	t.Run("if the evidence is wrong, all tasks are at 0 after 6 decisions, which at 0.5 s each is within the 4 s that a service may be harmed", func(t *testing.T) {
+		tasks := []throttler.Task{{Speed: throttler.FullSpeed, Blame: throttler.Cause}, {Speed: throttler.FullSpeed, Blame: throttler.Harmless}}
+		spared, steps := 0, 0
+		for tasks[0].Speed+tasks[1].Speed > 0 && steps < 20 {
+			speeds, sparing := throttler.Plan(tasks, harmed, spared)
+			tasks[0].Speed, tasks[1].Speed = speeds[0], speeds[1]
+			if steps++; sparing {
+				spared++
+			}
+		}
+		asserter.Equal(t, steps <= 6, true)
+	})
+}
--- a/shared/identifier/identifier.go
+++ b/shared/identifier/identifier.go
@@ -47,6 +47,8 @@
 	Pool string
 	// Label is a property of a worker that a task may require.
 	Label string
+	// Image identifies the program that tasks run.
+	Image string
 )
 
 // NewRequest returns a random request id.
