Let the leader learn from polls which tasks disturb each other, and act on it

Cause: the leader receives the progress and the tail latencies of all runs, and used them for the throttling of all best-effort tasks of a worker together only.

Change: controller/interference.go takes a sample of a run from each poll before which its neighbours did not change, gives the planner the cost of disturbances, parts a running pair at most every 2 s while no task waits, and tells throttler which best-effort tasks are the cause. Without images, samples or named pairs nothing changes. Pairs are logged once when they are found, and a summary every 10 s.

--- a/decisions/separator/cost.go
+++ b/decisions/separator/cost.go
@@ -12,8 +12,8 @@
 const (
 	// unknownRunTime stands for a run time of which nothing is known.
 	unknownRunTime = 5 * clock.Second
-	// lastingRunTime stands for the rest of a task that runs until it is cancelled.
-	lastingRunTime = 60 * clock.Second
+	// LastingRunTime stands for the rest of a task that runs until it is cancelled.
+	LastingRunTime = 60 * clock.Second
 	// maxMillis bounds the cost of a place, so that a worker that fails runs stays the worse choice.
 	maxMillis = 8192.0
 	// apartMillis is the cost of a place beside an image from which an operator wants it kept apart.
@@ -107,7 +107,7 @@
 
 func (sn *Separation) expected(jo *workload.Job, step *workload.Step) clock.Millis {
 	if step.LongRunning {
-		return lastingRunTime
+		return LastingRunTime
 	}
 	if jo != nil && sn.runTime != nil {
 		if ran := sn.runTime(jo, step); ran > 0 {
--- a/decisions/throttler/throttler.go
+++ b/decisions/throttler/throttler.go
@@ -32,6 +32,11 @@
 	Target clock.Millis
 }
 
+// Harmed reports whether a service is close to its target or above it.
+func Harmed(se Service) bool {
+	return se.Target > 0 && float64(se.TailLatency)/float64(se.Target) > throttleAbove
+}
+
 // Next returns the new speed of the best-effort tasks on a worker, given their present
 // speed. The speed is halved, down to a stop, while a service is close to its target or
 // above it, and raised step by step once all services are well below theirs.
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -12,6 +12,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/ledger"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -122,6 +123,8 @@
 		MaxPolls int
 		// Retention is how long ended jobs are kept.
 		Retention clock.Millis
+		// NamedPairs are the pairs of images that operators keep apart or ignore.
+		NamedPairs separator.Names
 		// RowLimit is the largest value of a row that the store accepts.
 		RowLimit meter.Bytes
 	}
--- /dev/null
+++ b/wagtailcroftd/controller/interference.go
@@ -0,0 +1,267 @@
+package controller
+
+import (
+	"maps"
+	"math"
+
+	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
+	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
+	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
+
+const (
+	// pairsInterval is how old the pairs may be that a plan uses.
+	pairsInterval = 1000 * clock.Millis(1)
+	// pairsLogInterval is the time between two log lines about the pairs.
+	pairsLogInterval = 10 * clock.Second
+	// partInterval is the time between two moves of running tasks, in which the effect of one shows.
+	partInterval = 2 * clock.Second
+	// minProgress is the progress over which a pace is measured. Workers report whole percents.
+	minProgress meter.Percent = 4
+	// checkpointLoss is the work that a task with checkpoints has to do again after a move.
+	checkpointLoss = 1100 * clock.Millis(1)
+)
+
+type (
+	// interference is what this leader knows of tasks that slow each other down. It is learned anew in each
+	// term.
+	interference struct {
+		separator *separator.Separator
+		// separation is what is known at refreshedAt; nil if it would change no plan.
+		separation  *separator.Separation
+		refreshedAt clock.Millis
+		// disturbing holds the pairs that were found, so that each is logged once.
+		disturbing map[separator.ImagePair]bool
+		// samples counts the samples since loggedAt.
+		samples  int
+		loggedAt clock.Millis
+		partedAt clock.Millis
+	}
+
+	// watch is what polls told of a run since its neighbours last changed.
+	watch struct {
+		history separator.History
+		// at is when the poll was answered at which the measurement began, on this instance's clock, and
+		// workerClock the same on the worker's. at is 0 before the first poll.
+		at, workerClock clock.Millis
+		// progress is the progress at that time, and beside what ran beside it.
+		progress meter.Percent
+		beside   separator.Amounts
+	}
+)
+
+func newInterference() interference {
+	return interference{separator: separator.New(), disturbing: map[separator.ImagePair]bool{}}
+}
+
+// observeInterference learns from an answer to a poll, which was given at a time of the worker's clock, how
+// the runs of a worker affect each other.
+func (te *term) observeInterference(wo *worker, workerClock, now clock.Millis) {
+	total := separator.Amounts{}
+	changedAt := clock.Millis(0)
+	for key, pl := range wo.runs {
+		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" {
+			total[identifier.Image(step.Image)] += pl.amount()
+			changedAt = max(changedAt, pl.startedAt, pl.speedAt)
+		}
+	}
+	if len(total) == 0 {
+		return
+	}
+	for key, pl := range wo.runs {
+		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" && !step.Gang {
+			te.watchRun(wo, key, pl, step, besides(total, identifier.Image(step.Image), pl.amount()), changedAt, workerClock, now)
+		}
+	}
+}
+
+// amount returns how much of the run works: 1 if it is not throttled.
+func (pl *placement) amount() float64 { return float64(pl.speed) / float64(throttler.FullSpeed) }
+
+// besides returns what runs beside a task of an image.
+func besides(total separator.Amounts, image identifier.Image, own float64) separator.Amounts {
+	beside := make(separator.Amounts, len(total))
+	for other, amount := range total {
+		if other == image {
+			amount -= own
+		}
+		if amount > 0 {
+			beside[other] = amount
+		}
+	}
+	return beside
+}
+
+// watchRun takes a sample of a run if its neighbours have not changed since the measurement began, except
+// for those that have just ended, which worked until the worker answered.
+func (te *term) watchRun(wo *worker, key workload.TaskKey, pl *placement, step *workload.Step, beside separator.Amounts, changedAt, workerClock, now clock.Millis) {
+	wa := &pl.watch
+	en := te.jobs[key.Job]
+	_, ta := en.job.Task(key)
+	if wa.at > 0 && changedAt <= wa.at {
+		sa := separator.Sample{Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: wa.beside}
+		progress, took := float64(ta.Progress-wa.progress), float64(workerClock-wa.workerClock)
+		switch {
+		case step.TailLatencyTarget > 0:
+			if pl.tailLatency > 0 {
+				sa.Slowdown = math.Log(float64(pl.tailLatency) / float64(step.TailLatencyTarget))
+				te.observe(&wa.history, sa)
+			}
+		case ta.Progress-wa.progress >= minProgress && took > 0 && pl.speed > 0:
+			sa.Slowdown = math.Log(took * pl.amount() / progress)
+			te.observe(&wa.history, sa)
+			te.observePace(wo, en, step, sa)
+		case maps.Equal(beside, wa.beside):
+			return // too little progress for a measurement, which goes on
+		}
+	}
+	wa.at, wa.workerClock, wa.progress, wa.beside = now, workerClock, ta.Progress, beside
+}
+
+func (te *term) observe(hi *separator.History, sa separator.Sample) {
+	te.interference.samples++
+	te.interference.separator.Observe(hi, sa)
+}
+
+// observePace compares the pace of a run with the run time that is expected of it. A run far from its data is
+// slow for a reason of its own.
+func (te *term) observePace(wo *worker, en *entry, step *workload.Step, sa separator.Sample) {
+	expected := te.predictor.ExpectedRunTime(en.job.Queue, step.Estimate)
+	if expected <= 0 || step.DataRack != "" && step.DataRack != wo.report.Rack {
+		return
+	}
+	te.interference.separator.ObservePace(separator.Pace{
+		Now: sa.Now, Worker: sa.Worker, Image: sa.Image, Beside: sa.Beside, Slowdown: sa.Slowdown + math.Log(100/float64(expected)),
+	})
+}
+
+// refreshPairs updates what the planner and the throttling know of the pairs, and logs the pairs that are
+// found.
+func (te *term) refreshPairs(now clock.Millis) {
+	in := &te.interference
+	if now-in.refreshedAt < pairsInterval {
+		return
+	}
+	in.refreshedAt = now
+	in.separation = in.separator.Separation(te.op.NamedPairs, func(jo *workload.Job, step *workload.Step) clock.Millis {
+		return te.predictor.ExpectedRunTime(jo.Queue, step.Estimate)
+	})
+	pairs := in.separator.Pairs()
+	known := 0
+	for _, pa := range pairs {
+		names := separator.ImagePair{A: pa.Disturbed, B: pa.Disturbing}
+		switch {
+		case pa.Verdict != separator.Disturbs:
+			delete(in.disturbing, names)
+			continue
+		case !in.disturbing[names]:
+			in.disturbing[names] = true
+			te.Metrics.Count("interference", "found")
+			te.log.Info().Str("disturbed", string(pa.Disturbed)).Str("disturbing", string(pa.Disturbing)).Float64("factor", pa.Factor()).
+				Float64("deviation", pa.Deviation).Int("workers", pa.Workers).Msg("interferenceFound")
+		}
+		known++
+	}
+	if in.samples > 0 && now-in.loggedAt >= pairsLogInterval {
+		te.log.Info().Int("pairs", len(pairs)).Int("disturbing", known).Int("samples", in.samples).Msg("interferenceReported")
+		in.samples, in.loggedAt = 0, now
+	}
+}
+
+// separationCosts returns the rule that keeps tasks apart, or none if nothing is known that would change a
+// plan.
+func (te *term) separationCosts() []planner.Cost {
+	if te.interference.separation == nil {
+		return nil
+	}
+	return []planner.Cost{te.interference.separation}
+}
+
+// partPair stops at most one run so that it starts on another worker, where that gains more than it loses.
+// Nothing is moved while a task waits, which would take the room.
+func (te *term) partPair(in planner.Input, pl planner.Plan, now clock.Millis) {
+	sn := te.interference.separation
+	if sn == nil || len(pl.Starts)+len(pl.Stops) > 0 || now-te.interference.partedAt < partInterval || anyWaiting(in) {
+		return
+	}
+	mo, found := sn.BestMove(te.hosts(in, now))
+	if !found {
+		return
+	}
+	te.interference.partedAt = now
+	te.Metrics.Count("interference", "parted")
+	te.log.Info().Str("task", mo.Task.String()).Str("worker", string(mo.From)).Str("to", string(mo.To)).
+		Int64("gainMillis", int64(mo.Gain)).Int64("lossMillis", int64(mo.Loss)).Msg("runParted")
+	te.stopTask(mo.Task)
+}
+
+func anyWaiting(in planner.Input) bool {
+	for _, jo := range in.Jobs {
+		for _, st := range jo.Stages {
+			if !jo.State.Final() && st.HasWaiting() && jo.Ready(st) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hosts returns the workers with their runs, for BestMove.
+func (te *term) hosts(in planner.Input, now clock.Millis) []separator.Host {
+	hosts := make([]separator.Host, 0, len(in.Workers))
+	for _, pw := range in.Workers {
+		ho := separator.Host{ID: pw.ID, Pool: pw.Pool, Labels: pw.Labels, Rack: pw.Rack, Usable: pw.Usable && !pw.Suspect, Free: pw.Capacity}
+		for key, pl := range te.workers[pw.ID].runs {
+			step := te.stepOf(key)
+			if step == nil {
+				continue
+			}
+			ho.Free = ho.Free.Sub(step.Reserved())
+			ho.Runs = append(ho.Runs, te.movableRun(key, pl, step, now))
+		}
+		hosts = append(hosts, ho)
+	}
+	return hosts
+}
+
+// movableRun describes a run for BestMove. Only first runs are moved, so that no task is moved twice.
+func (te *term) movableRun(key workload.TaskKey, pl *placement, step *workload.Step, now clock.Millis) separator.Run {
+	en := te.jobs[key.Job]
+	_, ta := en.job.Task(key)
+	ru := separator.Run{Key: key, Step: step, Left: separator.LastingRunTime, Lost: now - ta.PlacedAt}
+	if !step.LongRunning {
+		ru.Left = te.predictor.ExpectedRunTime(en.job.Queue, step.Estimate) * clock.Millis(100-min(ta.Progress, 100)) / 100
+	}
+	if step.Checkpointing {
+		ru.Lost = min(ru.Lost, checkpointLoss)
+	}
+	advised := true
+	if qu := te.Policies.Current().Queue(en.job.Queue); qu != nil {
+		advised = qu.NeedsAdvice
+	}
+	ru.Movable = ta.Phase == workload.Running && pl.startedAt > 0 && ta.Run == 1 && !advised && !step.Gang && !step.LongRunning && step.MaxPerWorker == 0
+	return ru
+}
+
+// blameOf returns what is known of the part that a best-effort task has in the tail latencies of services.
+func (te *term) blameOf(image string, services []service) throttler.Blame {
+	harmless, harmed := true, false
+	for _, se := range services {
+		if !throttler.Harmed(se.Service) {
+			continue
+		}
+		harmed = true
+		if te.interference.separation.Disturbs(identifier.Image(image), se.image) {
+			return throttler.Cause
+		}
+		harmless = harmless && te.interference.separation.Harmless(identifier.Image(image), se.image)
+	}
+	if harmed && harmless {
+		return throttler.Harmless
+	}
+	return throttler.Suspected
+}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -194,6 +194,7 @@
 		te.applyRunning(wo, ru, now)
 	}
 	missing := te.judgeRuns(wo, listed, assessor.Answer{Incarnation: wo.told, SentAt: sent, Truncated: st.Truncated})
+	te.observeInterference(wo, st.Clock, now)
 	te.throttle(wo, now)
 	return missing || runs != len(wo.runs) || orphans != len(wo.orphans) || incarnation != wo.report.Incarnation
 }
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -79,6 +79,7 @@
 	}
 	te.expireLeases(now)
 	te.evacuate(now)
+	te.refreshPairs(now)
 	in := te.plannerInput(po, now)
 	te.advise(in, po, now)
 	pl := te.planner.Plan(in)
@@ -89,6 +90,7 @@
 	for _, st := range pl.Starts {
 		te.applyStart(st, now)
 	}
+	te.partPair(in, pl, now)
 }
 
 // expireLeases completes the runs whose leases have certainly expired, and forgets workers that
@@ -160,6 +162,7 @@
 		}
 		in.Jobs = append(in.Jobs, en.job)
 	}
+	in.Costs = append(in.Costs, te.separationCosts()...)
 	in.Demand = te.urgentDemand(in)
 	in.Starts = te.startLimit()
 	for _, wo := range te.workers {
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -93,7 +93,8 @@
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
 		// gauger knows the speeds of the workers.
-		gauger *gauger.Gauger
+		gauger       *gauger.Gauger
+		interference interference
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
 		pacer       *pacer.Pacer
@@ -192,6 +193,7 @@
 		advice:          adviser.New(),
 		predictor:       predictor.New(),
 		gauger:          gauger.New(),
+		interference:    newInterference(),
 		pacer:           pacer.New(co.op.GangTimeout / pacePerGangTimeout),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
 		silences:        map[string]*silence{},
--- a/wagtailcroftd/controller/throttle.go
+++ b/wagtailcroftd/controller/throttle.go
@@ -1,12 +1,15 @@
 package controller
 
 import (
+	"slices"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
@@ -17,10 +20,16 @@
 	throttleInterval = 500 * clock.Millis(1)
 )
 
+// service is a service task and its image.
+type service struct {
+	throttler.Service
+	image identifier.Image
+}
+
 // throttle adjusts the speed of a worker's best-effort tasks to the tail latencies of the
 // services on the same worker. It is called with mu held after each poll.
 func (te *term) throttle(wo *worker, now clock.Millis) {
-	var services []throttler.Service
+	var services []service
 	var bestEffort []workload.TaskKey
 	for key, pl := range wo.runs {
 		step := te.stepOf(key)
@@ -29,7 +38,7 @@
 		case step.BestEffort:
 			bestEffort = append(bestEffort, key)
 		case step.TailLatencyTarget > 0:
-			services = append(services, throttler.Service{TailLatency: pl.tailLatency, Target: step.TailLatencyTarget})
+			services = append(services, service{throttler.Service{TailLatency: pl.tailLatency, Target: step.TailLatencyTarget}, identifier.Image(step.Image)})
 		}
 	}
 	wo.mixedLoad = len(services) > 0 && len(bestEffort) > 0
@@ -37,14 +46,34 @@
 		return
 	}
 	wo.throttledAt = now
-	for _, key := range bestEffort {
-		pl := wo.runs[key]
-		next := throttler.Next(pl.speed, services)
+	for i, next := range te.nextSpeeds(wo, bestEffort, services) {
+		pl := wo.runs[bestEffort[i]]
 		if next == pl.speed || pl.throttling {
 			continue
 		}
-		te.submitThrottle(wo, key, pl, next)
+		te.submitThrottle(wo, bestEffort[i], pl, next)
+	}
+}
+
+// nextSpeeds returns the new speeds of the best-effort tasks of a worker.
+func (te *term) nextSpeeds(wo *worker, bestEffort []workload.TaskKey, services []service) []meter.Percent {
+	tasks := make([]throttler.Task, 0, len(bestEffort))
+	for _, key := range bestEffort {
+		tasks = append(tasks, throttler.Task{Speed: wo.runs[key].speed, Blame: te.blameOf(te.stepOf(key).Image, services)})
+	}
+	harmed := make([]throttler.Service, 0, len(services))
+	for _, se := range services {
+		harmed = append(harmed, se.Service)
+	}
+	speeds, sparing := throttler.Plan(tasks, harmed, wo.spared)
+	switch {
+	case sparing:
+		wo.spared++
+		te.Metrics.Count("interference", "spared")
+	case !slices.ContainsFunc(harmed, throttler.Harmed):
+		wo.spared = 0
 	}
+	return speeds
 }
 
 // stepOf returns the step of a task, or nil if the task is not known.
@@ -77,7 +106,7 @@
 			return
 		}
 		if err == nil {
-			pl.speed = next
+			pl.speed, pl.speedAt = next, te.Clock.Now()
 		} else if eris.Is(err, fleet.ErrNoAnswer) {
 			te.Workers.CloseIdleConnections(to)
 		}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -95,6 +95,8 @@
 		// last evaluated.
 		mixedLoad   bool
 		throttledAt clock.Millis
+		// spared is how many times in a row harmless best-effort tasks were spared.
+		spared int
 		// inMaintenance means that the worker is being drained for maintenance of its machine.
 		inMaintenance bool
 		// suspectUntil is the end of the time for which other workers are preferred, after a run
@@ -145,6 +147,9 @@
 		// means that a command to change it is in progress.
 		speed      meter.Percent
 		throttling bool
+		// speedAt is when the speed last changed, and watch what polls told of the run.
+		speedAt clock.Millis
+		watch   watch
 		// tailLatency is the tail latency that the run last reported.
 		tailLatency clock.Millis
 		// origin is set if the run is inherited and its worker has reported its progress.
