Show operators which tasks slow each other down, and let them name pairs

Cause: what the leader learns of disturbances was only in its log, and operators who know better had no say.

Change: GET /v1/interference and `wagtailcroft interference list` show the pairs with effect, range, comparisons and workers, and the workers whose tasks are slow with the cause, on every instance, by the existing overview. The stand-in has an image of best-effort tasks that disturb nobody.

--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -7,6 +7,15 @@
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
+// ImagePair Two images, in any order.
+type ImagePair struct {
+	// One The one image.
+	One externalRef0.ImageID `json:"one" toml:"one" validate:"required,max=4000"`
+
+	// Other The other image.
+	Other externalRef0.ImageID `json:"other" toml:"other" validate:"required,max=4000"`
+}
+
 // Settings Settings of an instance of the step job scheduler.
 type Settings struct {
 	// AdviceAddress Address of the service that decides which workers may run a step; empty means none.
@@ -39,9 +48,15 @@
 	// HeadTimeoutMillis Time from the first byte of a head to its end where the configuration of the operators states none, in milliseconds.
 	HeadTimeoutMillis externalRef0.Millis `json:"headTimeoutMillis" toml:"headTimeoutMillis" validate:"min=100,max=600000"`
 
+	// IgnoreInterference Images that are treated as harmless to each other, whatever is measured.
+	IgnoreInterference []ImagePair `json:"ignoreInterference,omitempty" toml:"ignoreInterference" validate:"max=256,dive"`
+
 	// Instance Name of the instance.
 	Instance externalRef0.InstanceID `json:"instance" toml:"instance" validate:"required,max=63"`
 
+	// KeepApart Images whose tasks are kept apart where there is room, whatever is measured.
+	KeepApart []ImagePair `json:"keepApart,omitempty" toml:"keepApart" validate:"max=256,dive"`
+
 	// LeaseMillis Duration of the leases of runs, in milliseconds.
 	LeaseMillis externalRef0.Millis `json:"leaseMillis" toml:"leaseMillis" validate:"min=500,max=600000"`
 
--- a/shared/gen/operator/operator.go
+++ b/shared/gen/operator/operator.go
@@ -19,6 +19,48 @@
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
+// Defines values for ImagePairViewNamed.
+const (
+	ImagePairViewNamedApart   ImagePairViewNamed = "apart"
+	ImagePairViewNamedIgnored ImagePairViewNamed = "ignored"
+	ImagePairViewNamedNone    ImagePairViewNamed = "none"
+)
+
+// Valid indicates whether the value is a known member of the ImagePairViewNamed enum.
+func (e ImagePairViewNamed) Valid() bool {
+	switch e {
+	case ImagePairViewNamedApart:
+		return true
+	case ImagePairViewNamedIgnored:
+		return true
+	case ImagePairViewNamedNone:
+		return true
+	default:
+		return false
+	}
+}
+
+// Defines values for ImagePairViewVerdict.
+const (
+	ImagePairViewVerdictDisturbs ImagePairViewVerdict = "disturbs"
+	ImagePairViewVerdictHarmless ImagePairViewVerdict = "harmless"
+	ImagePairViewVerdictUnknown  ImagePairViewVerdict = "unknown"
+)
+
+// Valid indicates whether the value is a known member of the ImagePairViewVerdict enum.
+func (e ImagePairViewVerdict) Valid() bool {
+	switch e {
+	case ImagePairViewVerdictDisturbs:
+		return true
+	case ImagePairViewVerdictHarmless:
+		return true
+	case ImagePairViewVerdictUnknown:
+		return true
+	default:
+		return false
+	}
+}
+
 // Defines values for InstanceViewState.
 const (
 	InstanceViewStateConfirmed   InstanceViewState = "confirmed"
@@ -88,6 +130,24 @@
 	}
 }
 
+// Defines values for WorkerPaceViewCause.
+const (
+	WorkerPaceViewCauseNeighbors WorkerPaceViewCause = "neighbors"
+	WorkerPaceViewCauseWorker    WorkerPaceViewCause = "worker"
+)
+
+// Valid indicates whether the value is a known member of the WorkerPaceViewCause enum.
+func (e WorkerPaceViewCause) Valid() bool {
+	switch e {
+	case WorkerPaceViewCauseNeighbors:
+		return true
+	case WorkerPaceViewCauseWorker:
+		return true
+	default:
+		return false
+	}
+}
+
 // EditResult The result of a RowEdit.
 type EditResult struct {
 	// Applied False if the edit was a dry run.
@@ -121,6 +181,42 @@
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
 
+// ImagePairView What is known of how one image slows down another on the same worker.
+type ImagePairView struct {
+	// Contrasts Number of comparisons with and without the neighbour, in which old ones count less.
+	Contrasts float64 `json:"contrasts"`
+
+	// Disturbed Image whose tasks are slowed down.
+	Disturbed externalRef0.ImageID `json:"disturbed"`
+
+	// Disturbing Image whose tasks may be the cause.
+	Disturbing externalRef0.ImageID `json:"disturbing"`
+
+	// Factor Expected factor by which a task takes longer beside one of the disturbing image.
+	Factor float64 `json:"factor"`
+
+	// HighFactor Upper end of that range.
+	HighFactor float64 `json:"highFactor"`
+
+	// LowFactor Lower end of the range that the factor is in with 95% probability.
+	LowFactor float64 `json:"lowFactor"`
+
+	// Named Whether an operator has named the pair.
+	Named ImagePairViewNamed `json:"named"`
+
+	// Verdict Unknown means that the evidence suffices for neither harmless nor disturbs.
+	Verdict ImagePairViewVerdict `json:"verdict"`
+
+	// Workers Number of workers on which they were made, at most 8.
+	Workers int `json:"workers"`
+}
+
+// ImagePairViewNamed Whether an operator has named the pair.
+type ImagePairViewNamed string
+
+// ImagePairViewVerdict Unknown means that the evidence suffices for neither harmless nor disturbs.
+type ImagePairViewVerdict string
+
 // InstanceView One entry instance.
 type InstanceView struct {
 	// Instance Identifies an instance.
@@ -142,6 +238,14 @@
 // InstanceViewState Whether the instance has confirmed its table version recently; leaving means that it is shutting down.
 type InstanceViewState string
 
+// InterferenceList defines model for InterferenceList.
+type InterferenceList struct {
+	Pairs []ImagePairView `json:"pairs"`
+
+	// Workers Workers whose tasks are slow.
+	Workers []WorkerPaceView `json:"workers"`
+}
+
 // JobList defines model for JobList.
 type JobList struct {
 	Jobs []JobView `json:"jobs"`
@@ -192,11 +296,12 @@
 	Fence externalRef0.LeaseEpoch `json:"fence"`
 
 	// Instance Identifies an instance.
-	Instance   externalRef0.InstanceID `json:"instance"`
-	Jobs       []JobView               `json:"jobs"`
-	Targets    []TargetView            `json:"targets"`
-	Workspaces []WorkspaceView         `json:"workspaces"`
-	Zones      []ZoneView              `json:"zones"`
+	Instance     externalRef0.InstanceID `json:"instance"`
+	Interference InterferenceList        `json:"interference"`
+	Jobs         []JobView               `json:"jobs"`
+	Targets      []TargetView            `json:"targets"`
+	Workspaces   []WorkspaceView         `json:"workspaces"`
+	Zones        []ZoneView              `json:"zones"`
 }
 
 // OverviewQuery Asks the leader for its Overview, over net/rpc.
@@ -331,6 +436,27 @@
 	State string             `json:"state"`
 }
 
+// WorkerPaceView Why the tasks of a worker are slow.
+type WorkerPaceView struct {
+	// Cause Worker means that its tasks are slow whichever neighbours they have, neighbors that they slow each other down.
+	Cause WorkerPaceViewCause `json:"cause"`
+
+	// NeighborFactor Factor that their neighbours explain.
+	NeighborFactor float64 `json:"neighborFactor"`
+
+	// OwnFactor Factor by which its tasks take longer that their neighbours do not explain.
+	OwnFactor float64 `json:"ownFactor"`
+
+	// Runs Number of measurements, at most 16.
+	Runs float64 `json:"runs"`
+
+	// Worker Identifies a worker.
+	Worker externalRef0.WorkerID `json:"worker"`
+}
+
+// WorkerPaceViewCause Worker means that its tasks are slow whichever neighbours they have, neighbors that they slow each other down.
+type WorkerPaceViewCause string
+
 // WorkspaceList defines model for WorkspaceList.
 type WorkspaceList struct {
 	Workspaces []WorkspaceView `json:"workspaces"`
@@ -487,6 +613,9 @@
 	// GetHistory performs a GET /v1/history (the `GetHistory` operationId) request.
 	GetHistory(ctx context.Context, params *GetHistoryParams, reqEditors ...RequestEditorFn) (*http.Response, error)
 
+	// ListInterference performs a GET /v1/interference (the `ListInterference` operationId) request.
+	ListInterference(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
+
 	// ListJobs performs a GET /v1/jobs (the `ListJobs` operationId) request.
 	ListJobs(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
 
@@ -539,6 +668,19 @@
 	return c.Client.Do(req)
 }
 
+// ListInterference performs a GET /v1/interference (the `ListInterference` operationId) request.
+func (c *Client) ListInterference(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewListInterferenceRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // ListJobs performs a GET /v1/jobs (the `ListJobs` operationId) request.
 func (c *Client) ListJobs(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
 	req, err := NewListJobsRequest(c.Server)
@@ -747,6 +889,33 @@
 	return req, nil
 }
 
+// NewListInterferenceRequest constructs an http.Request for the ListInterference method
+func NewListInterferenceRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/interference")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 // NewListJobsRequest constructs an http.Request for the ListJobs method
 func NewListJobsRequest(server string) (*http.Request, error) {
 	var err error
@@ -1187,6 +1356,11 @@
 	// Returns a wrapper object for the known response body format(s).
 	GetHistoryWithResponse(ctx context.Context, params *GetHistoryParams, reqEditors ...RequestEditorFn) (*GetHistoryResponse, error)
 
+	// ListInterferenceWithResponse performs a GET /v1/interference (the `ListInterference` operationId) request.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	ListInterferenceWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListInterferenceResponse, error)
+
 	// ListJobsWithResponse performs a GET /v1/jobs (the `ListJobs` operationId) request.
 	//
 	// Returns a wrapper object for the known response body format(s).
@@ -1296,6 +1470,54 @@
 	return ""
 }
 
+type ListInterferenceResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *InterferenceList
+	// ApplicationProblemJSONDefault the response for an HTTP default `application/problem+json` response
+	ApplicationProblemJSONDefault *externalRef0.Problem
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r ListInterferenceResponse) GetJSON200() *InterferenceList {
+	return r.JSON200
+}
+
+// GetApplicationProblemJSONDefault returns the response for an HTTP default `application/problem+json` response
+func (r ListInterferenceResponse) GetApplicationProblemJSONDefault() *externalRef0.Problem {
+	return r.ApplicationProblemJSONDefault
+}
+
+// GetBody returns the raw response body bytes
+func (r ListInterferenceResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r ListInterferenceResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r ListInterferenceResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r ListInterferenceResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 type ListJobsResponse struct {
 	Body         []byte
 	HTTPResponse *http.Response
@@ -1835,6 +2057,17 @@
 	return ParseGetHistoryResponse(rsp)
 }
 
+// ListInterferenceWithResponse performs a GET /v1/interference (the `ListInterference` operationId) request.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) ListInterferenceWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListInterferenceResponse, error) {
+	rsp, err := c.ListInterference(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseListInterferenceResponse(rsp)
+}
+
 // ListJobsWithResponse performs a GET /v1/jobs (the `ListJobs` operationId) request.
 //
 // Returns a wrapper object for the known response body format(s).
@@ -2000,6 +2233,39 @@
 	return response, nil
 }
 
+// ParseListInterferenceResponse parses an HTTP response from a ListInterferenceWithResponse call
+func ParseListInterferenceResponse(rsp *http.Response) (*ListInterferenceResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &ListInterferenceResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest InterferenceList
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && true:
+		var dest externalRef0.Problem
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.ApplicationProblemJSONDefault = &dest
+
+	}
+
+	return response, nil
+}
+
 // ParseListJobsResponse parses an HTTP response from a ListJobsWithResponse call
 func ParseListJobsResponse(rsp *http.Response) (*ListJobsResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -2369,6 +2635,9 @@
 	// (GET /v1/history)
 	GetHistory(w http.ResponseWriter, r *http.Request, params GetHistoryParams)
 
+	// (GET /v1/interference)
+	ListInterference(w http.ResponseWriter, r *http.Request)
+
 	// (GET /v1/jobs)
 	ListJobs(w http.ResponseWriter, r *http.Request)
 
@@ -2445,6 +2714,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// ListInterference operation middleware
+func (siw *ServerInterfaceWrapper) ListInterference(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.ListInterference(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 // ListJobs operation middleware
 func (siw *ServerInterfaceWrapper) ListJobs(w http.ResponseWriter, r *http.Request) {
 
@@ -2824,6 +3107,8 @@
 
 	r.HandleFunc(options.BaseURL+"/v1/zones", wrapper.ListZones).Methods(http.MethodGet)
 
+	r.HandleFunc(options.BaseURL+"/v1/interference", wrapper.ListInterference).Methods(http.MethodGet)
+
 	r.HandleFunc(options.BaseURL+"/v1/targets", wrapper.ListTargets).Methods(http.MethodGet)
 
 	r.HandleFunc(options.BaseURL+"/v1/targets/{targetId}/drain", wrapper.DrainTarget).Methods(http.MethodPost)
@@ -2870,6 +3155,44 @@
 	return err
 }
 
+type ListInterferenceRequestObject struct {
+}
+
+type ListInterferenceResponseObject interface {
+	VisitListInterferenceResponse(w http.ResponseWriter) error
+}
+
+type ListInterference200JSONResponse InterferenceList
+
+func (response ListInterference200JSONResponse) VisitListInterferenceResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
+type ListInterferencedefaultApplicationProblemPlusJSONResponse struct {
+	Body       externalRef0.Problem
+	StatusCode int
+}
+
+func (response ListInterferencedefaultApplicationProblemPlusJSONResponse) VisitListInterferenceResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response.Body); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(response.StatusCode)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 type ListJobsRequestObject struct {
 }
 
@@ -3302,6 +3625,9 @@
 	// (GET /v1/history)
 	GetHistory(ctx context.Context, request GetHistoryRequestObject) (GetHistoryResponseObject, error)
 
+	// (GET /v1/interference)
+	ListInterference(ctx context.Context, request ListInterferenceRequestObject) (ListInterferenceResponseObject, error)
+
 	// (GET /v1/jobs)
 	ListJobs(ctx context.Context, request ListJobsRequestObject) (ListJobsResponseObject, error)
 
@@ -3401,6 +3727,30 @@
 	}
 }
 
+// ListInterference operation middleware
+func (sh *strictHandler) ListInterference(w http.ResponseWriter, r *http.Request) {
+	var request ListInterferenceRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.ListInterference(ctx, request.(ListInterferenceRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "ListInterference")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(ListInterferenceResponseObject); ok {
+		if err := validResponse.VisitListInterferenceResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
+
 // ListJobs operation middleware
 func (sh *strictHandler) ListJobs(w http.ResponseWriter, r *http.Request) {
 	var request ListJobsRequestObject
--- a/shared/gen/types/types.go
+++ b/shared/gen/types/types.go
@@ -132,6 +132,9 @@
 // IdempotencyKey Chosen by the caller; work is run at most once per key.
 type IdempotencyKey = identifier.Key
 
+// ImageID Identifies the program that tasks run.
+type ImageID = identifier.Image
+
 // InstanceID Identifies an instance.
 type InstanceID = identifier.Instance
 
--- a/standin/fleet/services.go
+++ b/standin/fleet/services.go
@@ -26,6 +26,8 @@
 	ticketValidity = 3 * time.Second
 	// maintenanceTime is how long a machine is down for maintenance.
 	maintenanceTime = 2 * time.Second
+	// HarmlessImage is the image of best-effort tasks that disturb nobody.
+	HarmlessImage = "harmless"
 	// baseTailMillis is the tail latency of a task with a tail latency target if no
 	// best-effort tasks are on the same runner. Each best-effort task at full speed adds
 	// addedTailMillis.
@@ -207,13 +209,28 @@
 	}
 	tail := baseTailMillis
 	for _, other := range ru.runs {
-		if ru.cluster.step(other.key).Fills {
+		if st := ru.cluster.step(other.key); st.Fills && st.Image != HarmlessImage {
 			tail += addedTailMillis * other.speed / 100
 		}
 	}
 	return tail
 }
 
+// MinSpeed returns the lowest speed, in percent, of the runs of an image; 100 if there are none.
+func (cl *Cluster) MinSpeed(image string) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	least := 100
+	for _, ru := range cl.runners {
+		for _, rn := range ru.runs {
+			if cl.step(rn.key).Image == image {
+				least = min(least, rn.speed)
+			}
+		}
+	}
+	return least
+}
+
 // MaxTailLatency returns the highest tail latency that any task currently reports, in
 // milliseconds.
 func (cl *Cluster) MaxTailLatency() int {
--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -27,17 +27,18 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInterferenceList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
-		"table":      "The shared table: one row for each workspace.",
-		"jobs":       "Jobs of all workspaces.",
-		"targets":    "Runners and workers.",
-		"workers":    "Workers.",
-		"workspaces": "Guaranteed and borrowed accelerators of workspaces.",
-		"zones":      "Availability zones of the workers.",
-		"instances":  "Entry instances.",
+		"table":        "The shared table: one row for each workspace.",
+		"jobs":         "Jobs of all workspaces.",
+		"targets":      "Runners and workers.",
+		"workers":      "Workers.",
+		"workspaces":   "Guaranteed and borrowed accelerators of workspaces.",
+		"zones":        "Availability zones of the workers.",
+		"instances":    "Entry instances.",
+		"interference": "Tasks that slow each other down.",
 	}
 
 	cmdVersion = command{
--- a/wagtailcroft/step_jobs_test.go
+++ b/wagtailcroft/step_jobs_test.go
@@ -42,6 +42,13 @@
 			{Zone: "kochi", Evacuated: true, RowVersion: 41, Workers: 12, Accelerators: 96, FreeAccelerators: 90, Tasks: []string{"a", "b"}, Jobs: []identifier.Job{"j1", "j2", "j3", "j4", "j5", "j6", "j7", "j8", "j9"}},
 			{Zone: "tvm", Workers: 13, Accelerators: 104, FreeAccelerators: 5, Tasks: []string{}, Jobs: []identifier.Job{}},
 		}},
+		"/v1/interference": operator.InterferenceList{
+			Pairs: []operator.ImagePairView{
+				{Disturbed: "web", Disturbing: "index", Verdict: operator.ImagePairViewVerdictDisturbs, Named: operator.ImagePairViewNamedNone, Factor: 1.5, LowFactor: 1.4, HighFactor: 1.6, Contrasts: 31, Workers: 8},
+				{Disturbed: "web", Disturbing: "backup", Verdict: operator.ImagePairViewVerdictHarmless, Named: operator.ImagePairViewNamedNone, Factor: 1, LowFactor: 1, HighFactor: 1},
+			},
+			Workers: []operator.WorkerPaceView{{Worker: "w7", Cause: operator.WorkerPaceViewCauseWorker, OwnFactor: 2, NeighborFactor: 1, Runs: 16}},
+		},
 	})
 	t.Run("jobs show their queue, steps and reason for waiting", func(t *testing.T) {
 		cli.t = t
@@ -58,6 +65,12 @@
 		cli.exec("zones list").expectOutput("kochi", "evacuated by row version 41", "12", "90", "j1 j2", "j8 and 1 more", "tvm", "in use").expectCode(0)
 		cli.exec("zones list --output json").expectOutput(`"rowVersion": 41`, `"j9"`).expectCode(0)
 	})
+	t.Run("interference shows pairs that disturb each other with their evidence, and slow workers", func(t *testing.T) {
+		cli.t = t
+		cli.exec("interference list").expectOutput("web", "index", "disturbs", "1.50", "1.40 to 1.60", "31", "8", "worker w7", "2.00").expectCode(0)
+		cli.exec("interference list --all").expectOutput("backup", "harmless").expectCode(0)
+		cli.exec("interference list --output json").expectOutput(`"disturbing": "backup"`).expectCode(0)
+	})
 	t.Run("workspaces show guaranteed and borrowed accelerators", func(t *testing.T) {
 		cli.t = t
 		cli.exec("workspaces list").expectOutput("studio", "72", "16", "8", "32", "5", "UNRECLAIMABLE", "7").expectCode(0)
--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -21,7 +22,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/commander"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/member"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/settings"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/logger"
+	"github.com/wagtailcroft/wagtailcroft/shared/problem"
 	"github.com/wagtailcroft/wagtailcroft/shared/tracer"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/gatekeeper"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/instrumenter"
@@ -49,10 +52,12 @@
 	Bind: func(cl *kingpin.CmdClause) func() error {
 		path := cl.Arg("settings", "Settings file written by the platform.").Default(platform.SettingsPath()).String()
 		port := cl.Flag("metrics-port", "Port on which the metrics are served as text under /metrics, beside the operators' address; 0 means none.").Default("0").Uint16()
+		apart := cl.Flag("keep-apart", "Two images whose tasks are kept apart where there is room, as ONE,OTHER; may be repeated.").Strings()
+		ignored := cl.Flag("ignore-interference", "Two images that are treated as harmless to each other, whatever is measured, as ONE,OTHER; may be repeated.").Strings()
 		trace := &settings.Trace{}
 		cl.Flag("trace-exporter", "Span exporter: none, stderr or otlp.").Default("none").EnumVar((*string)(&trace.Exporter), "none", "stderr", "otlp")
 		cl.Flag("trace-url", "URL of the OTLP collector.").StringVar(&trace.OtlpURL)
-		return func() error { return schedule(*path, *port, *trace) }
+		return func() error { return schedule(*path, *port, *trace, *apart, *ignored) }
 	},
 }
 
@@ -63,8 +68,11 @@
 	handler http.Handler
 }
 
-func schedule(path string, metricsPort uint16, trace settings.Trace) error {
+func schedule(path string, metricsPort uint16, trace settings.Trace, apart, ignored []string) error {
 	set, err := platform.LoadSettings(path)
+	if err == nil {
+		set, err = namePairs(set, apart, ignored)
+	}
 	if err != nil {
 		return err
 	}
@@ -114,6 +122,23 @@
 	return spans.Close(context.Background())
 }
 
+// namePairs adds the named pairs of images to the settings. Errors are of kind BadSettings.
+func namePairs(set member.Settings, apart, ignored []string) (member.Settings, error) {
+	for _, list := range []struct {
+		texts []string
+		pairs *[]member.ImagePair
+	}{{apart, &set.KeepApart}, {ignored, &set.IgnoreInterference}} {
+		for _, text := range list.texts {
+			one, other, found := strings.Cut(text, ",")
+			if !found || one == "" || other == "" || strings.Contains(other, ",") {
+				return set, problem.New(problem.BadSettings, "%q does not name two images; write them as ONE,OTHER", text)
+			}
+			*list.pairs = append(*list.pairs, member.ImagePair{One: identifier.Image(one), Other: identifier.Image(other)})
+		}
+	}
+	return set, nil
+}
+
 // collectGarbageAs sets how often garbage is collected, by whether this instance is the leader.
 func collectGarbageAs(leader bool) {
 	percent := gcPercent
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -49,6 +50,11 @@
 		Workspaces []policy.Workspace
 		// Evacuations holds the evacuated zones.
 		Evacuations fleet.Evacuations
+		// Pairs are those of which there is evidence, Named those that operators have named, and Judgments
+		// tell of workers whose tasks are slow.
+		Pairs     []separator.Pair
+		Named     separator.Names
+		Judgments []separator.Judgment
 	}
 
 	// JobView is a job and what it waits for.
@@ -88,10 +94,11 @@
 		return View{}, false
 	}
 	now := te.Clock.Now()
-	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces)}
+	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces), Named: te.op.NamedPairs}
 	if te.op.MaxEvacuationAge > 0 {
 		vi.Evacuations = te.Policies.Evacuations()
 	}
+	vi.Pairs, vi.Judgments = te.interference.separator.Pairs(), te.interference.separator.Judgments()
 	for _, wo := range te.workers {
 		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
 	}
--- a/wagtailcroftd/operatorserver/jobs.go
+++ b/wagtailcroftd/operatorserver/jobs.go
@@ -199,6 +199,11 @@
 	return operator.ListZones200JSONResponse(list), nil
 }
 
+// ListInterference returns an empty list: gang jobs name no images.
+func (se *Server) ListInterference(context.Context, operator.ListInterferenceRequestObject) (operator.ListInterferenceResponseObject, error) {
+	return operator.ListInterference200JSONResponse{Pairs: []operator.ImagePairView{}, Workers: []operator.WorkerPaceView{}}, nil
+}
+
 // ListWorkspaces returns the accelerators that each workspace is guaranteed, uses, borrows
 // and waits for.
 func (se *Server) ListWorkspaces(ctx context.Context, _ operator.ListWorkspacesRequestObject) (operator.ListWorkspacesResponseObject, error) {
--- a/wagtailcroftd/overseer/overview.go
+++ b/wagtailcroftd/overseer/overview.go
@@ -24,7 +24,7 @@
 func newOverview(in identifier.Instance, view controller.View) operator.Overview {
 	snapshot := operator.Overview{
 		Deciding: true, Instance: in, Fence: view.Fence,
-		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view), Zones: zoneViews(view),
+		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view), Zones: zoneViews(view), Interference: interferenceList(view),
 	}
 	for i := range view.Jobs {
 		snapshot.Jobs = append(snapshot.Jobs, jobView(&view.Jobs[i]))
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
 	"github.com/wagtailcroft/wagtailcroft/decisions/shedder"
 	"github.com/wagtailcroft/wagtailcroft/platform"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -142,7 +143,7 @@
 	deps.Peers = pa.messenger
 	pa.controller = controller.New(deps, controller.Options{
 		Instance: set.Instance, Incarnation: incarnation, Address: set.PeerAddress, LeaseDuration: set.LeaseMillis, TakeoverTimeout: set.TakeoverTimeoutMillis, ElectionDelay: set.ElectionDelayMillis,
-		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaxEvacuationAge: set.EvacuateMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis, RowLimit: set.RowLimit,
+		StopGrace: set.StopGraceMillis, GangTimeout: set.GangTimeoutMillis, MaxEvacuationAge: set.EvacuateMillis, MaintenanceDelay: set.LeadershipLeaseMillis, MaxPolls: set.MaxPolls, Retention: set.RetentionMillis, RowLimit: set.RowLimit, NamedPairs: namedPairs(set),
 	})
 	pa.overseer = overseer.New(overseer.Options{
 		Instance: set.Instance, Zone: set.Zone, Controller: pa.controller, Leadership: pa.controller, Jobs: pa.intake, Policies: pa.follower, Metrics: de.Metrics,
@@ -182,6 +183,18 @@
 // Gatekeeper returns what guards the listeners.
 func (pa *Participant) Gatekeeper() *gatekeeper.Gatekeeper { return pa.gatekeeper }
 
+// namedPairs returns the pairs of images that the settings name.
+func namedPairs(set member.Settings) separator.Names {
+	convert := func(pairs []member.ImagePair) []separator.ImagePair {
+		names := make([]separator.ImagePair, 0, len(pairs))
+		for _, pa := range pairs {
+			names = append(names, separator.ImagePair{A: pa.One, B: pa.Other})
+		}
+		return names
+	}
+	return separator.Names{Apart: convert(set.KeepApart), Ignored: convert(set.IgnoreInterference)}
+}
+
 // ClientHandler returns the handler of the client API.
 func (pa *Participant) ClientHandler() http.Handler {
 	return pa.tracer.Handler("entry.caller", platform.NewCallerHandler(pa.intake, pa.cl))
