Judge workers by one pace for each run, and bound the samples

Cause: the judgment of workers counted each sample as a run, though the samples of a run share the error of the expected run time, and took the differences between workers for noise. The samples of a second were not bounded.

Change: the pace of a run counts once, when it is half done; the noise is what runs of the same worker differ by; at most 1,000 samples are taken in a second.

A sample takes 7 microseconds.

--- a/decisions/separator/fleet_test.go
+++ b/decisions/separator/fleet_test.go
@@ -54,6 +54,8 @@
 		seen   int
 		seenAt clock.Millis
 		beside separator.Amounts
+		// paced means that the pace of the run has been compared with what was expected.
+		paced bool
 	}
 )
 
@@ -127,8 +129,12 @@
 	}
 	took := math.Log(float64(now-ru.seenAt) / float64(progress-ru.seen))
 	ge.se.Observe(&ru.history, separator.Sample{Now: now, Worker: ho.id, Image: ru.image, Slowdown: took, Beside: ru.beside})
-	expected := ru.work * math.Exp(0.3*ge.rnd.NormFloat64())
-	ge.se.ObservePace(separator.Pace{Now: now, Worker: ho.id, Image: ru.image, Slowdown: took - math.Log(expected/100), Beside: ru.beside})
+	if progress >= 50 && !ru.paced {
+		ru.paced = true
+		mean, beside := ru.history.Mean()
+		expected := ru.work * math.Exp(0.3*ge.rnd.NormFloat64())
+		ge.se.ObservePace(separator.Pace{Now: now, Worker: ho.id, Image: ru.image, Slowdown: mean - math.Log(expected/100), Beside: beside})
+	}
 	ru.seen, ru.seenAt = progress, now
 }
 
--- a/decisions/separator/judge.go
+++ b/decisions/separator/judge.go
@@ -24,6 +24,8 @@
 	// runs of a worker count.
 	levelWeight = 0.05
 	recentRuns  = 16
+	// spreadWeight is the least weight of the newest run in the spread within workers.
+	spreadWeight = 0.002
 	// minRuns is how many runs a worker must have for a judgment.
 	minRuns = 4
 	// slowAbove is the logarithmic slowdown above which a worker is slow: 25%.
@@ -34,7 +36,8 @@
 	// Cause is why the runs of a worker are slow.
 	Cause int
 
-	// Pace is the pace of one run, compared with what was expected of it.
+	// Pace is the pace of one run, compared with what was expected of it. Each run counts once, because its
+	// samples share the error of what was expected.
 	Pace struct {
 		Now    clock.Millis
 		Worker identifier.Worker
@@ -60,12 +63,15 @@
 	judge struct {
 		levels  map[identifier.Image]*level
 		workers map[identifier.Worker]*judged
+		// square is the mean square difference between runs of the same worker, and compared the number of
+		// runs that it is from.
+		square, compared float64
 	}
 
 	// level is how slow runs of an image usually are where nothing disturbs them.
 	level struct {
-		mean, square, count float64
-		usedAt              clock.Millis
+		mean, count float64
+		usedAt      clock.Millis
 	}
 
 	// judged is the mean of what the runs of a worker showed.
@@ -93,18 +99,25 @@
 	usual := le.mean
 	le.add(own)
 	wo := se.judge.worker(pa.Worker, pa.Now)
+	diff := min(max(own-usual, -2*maxStep), 2*maxStep) - wo.own
+	if wo.runs > 0 {
+		se.judge.compare(diff * diff * wo.runs / (wo.runs + 1))
+	}
 	wo.runs = min(wo.runs+1, recentRuns)
-	wo.own += (min(max(own-usual, -2*maxStep), 2*maxStep) - wo.own) / wo.runs
+	wo.own += diff / wo.runs
 	wo.disturbed += (disturbed - wo.disturbed) / wo.runs
 }
 
 // add adds a run. Its weight never falls below levelWeight, so that the level follows changes.
 func (le *level) add(own float64) {
 	le.count++
-	weight := max(1/le.count, levelWeight)
-	diff := own - le.mean
-	le.mean += weight * diff
-	le.square += weight * ((1-weight)*diff*diff - le.square)
+	le.mean += max(1/le.count, levelWeight) * (own - le.mean)
+}
+
+// compare adds the squared difference of a run from others of its worker.
+func (ju *judge) compare(square float64) {
+	ju.compared = min(ju.compared+1, 1/spreadWeight)
+	ju.square += (square - ju.square) / ju.compared
 }
 
 // Undisturbed returns the factor by which the neighbours of a run certainly lengthen it, at least 1. Whoever
@@ -119,14 +132,7 @@
 
 // Judgments returns the workers of which enough is known, those that are slowest by themselves first.
 func (se *Separator) Judgments() []Judgment {
-	spread, count := 0.0, 0.0
-	for _, le := range se.judge.levels {
-		spread, count = spread+le.square*le.count, count+le.count
-	}
-	if count == 0 {
-		return nil
-	}
-	deviation := math.Sqrt(spread / count)
+	deviation := math.Sqrt(max(se.judge.square, minNoise*minNoise))
 	var all []Judgment
 	for id, wo := range se.judge.workers {
 		if wo.runs < minRuns {
--- a/decisions/separator/separator.go
+++ b/decisions/separator/separator.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -116,6 +117,9 @@
 	hi.add(sa)
 }
 
+// Mean returns the mean slowdown of the recent samples, and what ran beside on average.
+func (hi *History) Mean() (float64, Amounts) { return hi.slowdown, maps.Clone(hi.beside) }
+
 // changes returns the differences of the neighbours from those of the history.
 func (hi *History) changes(beside Amounts) Amounts {
 	changed := Amounts{}
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -18,10 +18,14 @@
 	pairsInterval = 1000 * clock.Millis(1)
 	// pairsLogInterval is the time between two log lines about the pairs.
 	pairsLogInterval = 10 * clock.Second
+	// maxSamples is how many samples are taken in each pairsInterval; one costs about 7 microseconds.
+	maxSamples = 1000
 	// partInterval is the time between two moves of running tasks, in which the effect of one shows.
 	partInterval = 2 * clock.Second
 	// minProgress is the progress over which a pace is measured. Workers report whole percents.
 	minProgress meter.Percent = 4
+	// paceProgress is the progress at which the pace of a run is compared with what was expected of it.
+	paceProgress meter.Percent = 50
 	// checkpointLoss is the work that a task with checkpoints has to do again after a move.
 	checkpointLoss = 1100 * clock.Millis(1)
 )
@@ -39,6 +43,9 @@
 		// samples counts the samples since loggedAt.
 		samples  int
 		loggedAt clock.Millis
+		// recent counts the samples since refreshedAt, at most maxSamples.
+		recent int
+		// partedAt is when a run was last moved.
 		partedAt clock.Millis
 	}
 
@@ -51,6 +58,8 @@
 		// progress is the progress at that time, and beside what ran beside it.
 		progress meter.Percent
 		beside   separator.Amounts
+		// paced means that the pace of the run has been compared with what was expected of it.
+		paced bool
 	}
 )
 
@@ -61,15 +70,18 @@
 // observeInterference learns from an answer to a poll, which was given at a time of the worker's clock, how
 // the runs of a worker affect each other.
 func (te *term) observeInterference(wo *worker, workerClock, now clock.Millis) {
-	total := separator.Amounts{}
+	var total separator.Amounts
 	changedAt := clock.Millis(0)
 	for key, pl := range wo.runs {
 		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" {
+			if total == nil {
+				total = separator.Amounts{}
+			}
 			total[identifier.Image(step.Image)] += pl.amount()
 			changedAt = max(changedAt, pl.startedAt, pl.speedAt)
 		}
 	}
-	if len(total) == 0 {
+	if total == nil {
 		return
 	}
 	for key, pl := range wo.runs {
@@ -114,7 +126,7 @@
 		case ta.Progress-wa.progress >= minProgress && took > 0 && pl.speed > 0:
 			sa.Slowdown = math.Log(took * pl.amount() / progress)
 			te.observe(&wa.history, sa)
-			te.observePace(wo, en, step, sa)
+			te.observePace(wo, en, step, wa, ta.Progress, now)
 		case maps.Equal(beside, wa.beside):
 			return // too little progress for a measurement, which goes on
 		}
@@ -123,19 +135,25 @@
 }
 
 func (te *term) observe(hi *separator.History, sa separator.Sample) {
+	if te.interference.recent >= maxSamples {
+		return
+	}
 	te.interference.samples++
+	te.interference.recent++
 	te.interference.separator.Observe(hi, sa)
 }
 
-// observePace compares the pace of a run with the run time that is expected of it. A run far from its data is
-// slow for a reason of its own.
-func (te *term) observePace(wo *worker, en *entry, step *workload.Step, sa separator.Sample) {
+// observePace compares the pace of a run once, when it is half done, with the run time that is expected of
+// it. A run far from its data is slow for a reason of its own.
+func (te *term) observePace(wo *worker, en *entry, step *workload.Step, wa *watch, progress meter.Percent, now clock.Millis) {
 	expected := te.predictor.ExpectedRunTime(en.job.Queue, step.Estimate)
-	if expected <= 0 || step.DataRack != "" && step.DataRack != wo.report.Rack {
+	if wa.paced || progress < paceProgress || expected <= 0 || step.DataRack != "" && step.DataRack != wo.report.Rack {
 		return
 	}
+	wa.paced = true
+	slowdown, beside := wa.history.Mean()
 	te.interference.separator.ObservePace(separator.Pace{
-		Now: sa.Now, Worker: sa.Worker, Image: sa.Image, Beside: sa.Beside, Slowdown: sa.Slowdown + math.Log(100/float64(expected)),
+		Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: beside, Slowdown: slowdown + math.Log(100/float64(expected)),
 	})
 }
 
@@ -146,7 +164,7 @@
 	if now-in.refreshedAt < pairsInterval {
 		return
 	}
-	in.refreshedAt = now
+	in.refreshedAt, in.recent = now, 0
 	in.separation = in.separator.Separation(te.op.NamedPairs, func(jo *workload.Job, step *workload.Step) clock.Millis {
 		return te.predictor.ExpectedRunTime(jo.Queue, step.Estimate)
 	})
