Keep disturbed workers from passing for slow ones

Cause: gauger learns speeds from run times, so that a worker whose tasks disturb each other would look slow, and the judgment of workers did not know the speeds that gauger has found.

Change: run times are divided by the disturbance that is certain before gauger takes them, and paces by the known factor of the worker before they are judged. Without pairs that disturb nothing changes.

Measured: TestUndisturbed; controller, participant and decisions pass.

--- a/decisions/separator/judge.go
+++ b/decisions/separator/judge.go
@@ -121,7 +121,7 @@
 }
 
 // Undisturbed returns the factor by which the neighbours of a run certainly lengthen it, at least 1. Whoever
-// measures the speed of workers divides the run time by it.
+// measures the speed of workers divides the run time by it, so that disturbed workers do not pass for slow ones.
 func (se *Separator) Undisturbed(image identifier.Image, beside Amounts) float64 {
 	mo := se.models[image]
 	if mo == nil {
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -153,10 +153,22 @@
 	wa.paced = true
 	slowdown, beside := wa.history.Mean()
 	te.interference.separator.ObservePace(separator.Pace{
-		Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: beside, Slowdown: slowdown + math.Log(100/float64(expected)),
+		Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: beside,
+		Slowdown: slowdown + math.Log(100/float64(expected)/te.factorOf(wo, now)),
 	})
 }
 
+// undisturbed returns how long a run would have taken so far without the neighbours that certainly disturb it,
+// so that its worker does not pass for a slow one.
+func (te *term) undisturbed(pl *placement, image string, elapsed clock.Millis) clock.Millis {
+	if te.interference.separation == nil {
+		return elapsed
+	}
+	_, beside := pl.watch.history.Mean()
+	factor := te.interference.separator.Undisturbed(identifier.Image(image), beside)
+	return clock.Millis(float64(elapsed) / factor)
+}
+
 // refreshPairs updates what the planner and the throttling know of the pairs, and logs the pairs that are
 // found.
 func (te *term) refreshPairs(now clock.Millis) {
--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -14,6 +14,9 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
+// poll is the time between two polls of a worker.
+const poll = clock.Second
+
 // onePolicy is a configuration with one queue.
 type onePolicy struct {
 	noPolicies
@@ -40,7 +43,7 @@
 			for second := range clock.Millis(40) {
 				amount := float64(second / 4 % 2)
 				te.interference.separator.Observe(&hi, separator.Sample{
-					Now: second * clock.Second, Worker: identifier.Worker(rune('a' + worker)), Image: "web", Slowdown: 0.5 * amount, Beside: separator.Amounts{"index": amount},
+					Now: te.Clock.Now() + second*clock.Second, Worker: identifier.Worker(rune('a' + worker)), Image: "web", Slowdown: 0.5 * amount, Beside: separator.Amounts{"index": amount},
 				})
 			}
 		}
@@ -129,7 +132,6 @@
 }
 
 func TestSamples(t *testing.T) {
-	const poll = clock.Second
 	// after lets the tasks make progress, and returns the number of samples that the next poll gives.
 	after := func(te *term, at clock.Millis, progress meter.Percent) int {
 		for _, en := range te.jobs {
@@ -188,3 +190,23 @@
 		})
 	})
 }
+
+func TestUndisturbed(t *testing.T) {
+	t.Run("a worker whose tasks disturb each other does not pass for a slow one", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			pl := te.workers["w-0"].runs[workload.TaskKey{Job: "web"}]
+			var idle placement
+			now := te.Clock.Now() + 40*clock.Second
+			te.observeInterference(te.workers["w-0"], now, now)
+			te.jobs["web"].job.Stages[0].Tasks[0].Progress = 10
+			te.observeInterference(te.workers["w-0"], now+poll, now+poll)
+			asserter.Equal(t, te.undisturbed(pl, "web", poll), poll) // before the pairs were evaluated
+			te.refreshPairs(now + poll)
+			if took := te.undisturbed(pl, "web", poll); took < 550 || took > 750 {
+				t.Fatalf("%d ms of 1000 ms, which is not what a factor of 1.5 to 1.8 leaves", took)
+			}
+			asserter.Equal(t, te.undisturbed(&idle, "web", poll), poll)
+			asserter.Equal(t, te.undisturbed(pl, "other", poll), poll)
+		})
+	})
+}
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -44,13 +44,13 @@
 			pl.origin = origin{at: now, percent: ta.Progress}
 		}
 		if ta.Progress < completeProgress {
-			ru.Percent, ru.Elapsed = ta.Progress-pl.origin.percent, now-pl.origin.at
+			ru.Percent, ru.Elapsed = ta.Progress-pl.origin.percent, te.undisturbed(pl, ru.Image, now-pl.origin.at)
 			te.gauger.Record(ru, now)
 		}
 		return
 	}
 	if began := te.beganAt(jo, st, pl); began > 0 {
-		ru.Elapsed = now - began
+		ru.Elapsed = te.undisturbed(pl, ru.Image, now-began)
 		te.gauger.Record(ru, now)
 	}
 }
@@ -63,7 +63,7 @@
 		return
 	}
 	ru := te.gaugedRun(wo, key, jo, pl.run)
-	ru.Percent, ru.Elapsed, ru.Done = completeProgress, now-pl.startedAt, true
+	ru.Percent, ru.Elapsed, ru.Done = completeProgress, te.undisturbed(pl, ru.Image, now-pl.startedAt), true
 	te.gauger.Record(ru, now)
 }
 
