--- a/decisions/separator/judge.go
+++ b/decisions/separator/judge.go
@@ -42,8 +42,8 @@
 		Now    clock.Millis
 		Worker identifier.Worker
 		Image  identifier.Image
-		// Slowdown is the logarithm of the time per unit of progress over the expected one, at the worker's
-		// own speed as far as that is known.
+		// Slowdown is the logarithm of the time per unit of progress over that which is expected on a normal
+		// worker.
 		Slowdown float64
 		Beside   Amounts
 	}
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -154,7 +154,7 @@
 	slowdown, beside := wa.history.Mean()
 	te.interference.separator.ObservePace(separator.Pace{
 		Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: beside,
-		Slowdown: slowdown + math.Log(100/float64(expected)/te.factorOf(wo, now)),
+		Slowdown: slowdown + math.Log(100/float64(expected)),
 	})
 }
 
