Look the cost of a pair of images up once

Cause: the cost of a place took four look-ups and two exponentials for each task on each worker.

Change: what two images cost each other is computed when the pairs are evaluated; images without pairs that disturb are skipped.

--- a/decisions/separator/cost.go
+++ b/decisions/separator/cost.go
@@ -37,39 +37,65 @@
 	// RunTime returns the expected run time of a task of a step, or 0 if nothing is known.
 	RunTime func(jo *workload.Job, step *workload.Step) clock.Millis
 
+	// pairCost is the cost of two tasks side by side.
+	pairCost struct {
+		// share is the part of the time together that both lose, and fixed what is lost besides, in
+		// milliseconds.
+		share, fixed float64
+	}
+
 	// Separation is what is known of all pairs at one time, for the planner. It never changes.
 	Separation struct {
-		// effects holds, for each disturbed image, the certain logarithmic slowdown by each disturbing one.
-		effects map[identifier.Image]map[identifier.Image]float64
+		// disturbs holds the pairs of a disturbed and a disturbing image that are not ignored, and costs those
+		// of all pairs, in both orders, that cost anything.
+		disturbs map[ImagePair]bool
+		costs    map[ImagePair]pairCost
 		// harmless holds the pairs that certainly make no difference.
 		harmless map[ImagePair]bool
-		// apart and ignored hold the named pairs in both orders.
-		apart, ignored map[ImagePair]bool
-		runTime        RunTime
+		// involved holds the images of costs.
+		involved map[identifier.Image]bool
+		runTime  RunTime
 	}
 )
 
 // Separation returns what is known of all pairs, or nil if nothing is known that would change a plan.
 func (se *Separator) Separation(na Names, runTime RunTime) *Separation {
-	sn := &Separation{effects: map[identifier.Image]map[identifier.Image]float64{}, harmless: map[ImagePair]bool{}, apart: bothOrders(na.Apart), ignored: bothOrders(na.Ignored), runTime: runTime}
+	sn := &Separation{disturbs: map[ImagePair]bool{}, costs: map[ImagePair]pairCost{}, harmless: map[ImagePair]bool{}, involved: map[identifier.Image]bool{}, runTime: runTime}
+	ignored := bothOrders(na.Ignored)
 	for _, pa := range se.Pairs() {
 		names := ImagePair{pa.Disturbed, pa.Disturbing}
 		switch {
 		case pa.Verdict == Harmless:
 			sn.harmless[names] = true
-		case pa.Verdict == Disturbs && !sn.ignored[names]:
-			if sn.effects[pa.Disturbed] == nil {
-				sn.effects[pa.Disturbed] = map[identifier.Image]float64{}
-			}
-			sn.effects[pa.Disturbed][pa.Disturbing] = pa.certain()
+		case pa.Verdict == Disturbs && !ignored[names]:
+			sn.disturbs[names] = true
+			sn.add(names, pairCost{share: math.Expm1(pa.certain())})
 		}
 	}
-	if len(sn.effects)+len(sn.apart) == 0 {
+	for names := range bothOrders(na.Apart) {
+		sn.add(names, pairCost{fixed: apartMillis / 2})
+	}
+	if len(sn.costs) == 0 {
 		return nil
 	}
 	return sn
 }
 
+// add adds to the cost of a pair in both orders.
+func (sn *Separation) add(names ImagePair, cost pairCost) {
+	orders := []ImagePair{names, {names.B, names.A}}
+	if names.A == names.B {
+		orders = orders[:1]
+		cost.share *= 2 // each of the two disturbs the other
+		cost.fixed *= 2
+	}
+	for _, na := range orders {
+		sum := sn.costs[na]
+		sn.costs[na] = pairCost{share: sum.share + cost.share, fixed: sum.fixed + cost.fixed}
+		sn.involved[na.A] = true
+	}
+}
+
 func bothOrders(pairs []ImagePair) map[ImagePair]bool {
 	both := make(map[ImagePair]bool, 2*len(pairs))
 	for _, pa := range pairs {
@@ -83,17 +109,18 @@
 func (sn *Separation) Millis(pl planner.Place) float64 {
 	step := pl.Job.StepOf(pl.Stage)
 	image := identifier.Image(step.Image)
-	if image == "" {
+	if !sn.involved[image] || len(pl.Occupants) == 0 {
 		return 0
 	}
-	millis := 0.0
+	millis, expected := 0.0, sn.expected(pl.Job, step)
 	for _, oc := range pl.Occupants {
-		if other := identifier.Image(oc.Image); other != "" {
-			if sn.apart[ImagePair{image, other}] {
-				millis += apartMillis
-			}
+		other := identifier.Image(oc.Image)
+		if !sn.involved[other] {
+			continue
+		}
+		if cost, known := sn.costs[ImagePair{image, other}]; known {
 			// The run time of the other is not known by its job here.
-			millis += sn.mutual(image, other, sn.expected(pl.Job, step), sn.expected(nil, oc))
+			millis += cost.fixed + cost.share*float64(min(expected, sn.expected(nil, oc)))
 		}
 	}
 	return min(millis, maxMillis)
@@ -101,8 +128,7 @@
 
 // mutual returns how much longer two tasks take because they run side by side until the first of them ends.
 func (sn *Separation) mutual(one, other identifier.Image, oneLeft, otherLeft clock.Millis) float64 {
-	together := float64(min(oneLeft, otherLeft))
-	return together * (math.Expm1(sn.effects[one][other]) + math.Expm1(sn.effects[other][one]))
+	return sn.costs[ImagePair{one, other}].share * float64(min(oneLeft, otherLeft))
 }
 
 func (sn *Separation) expected(jo *workload.Job, step *workload.Step) clock.Millis {
@@ -122,7 +148,7 @@
 
 // Disturbs reports whether one image certainly disturbs another.
 func (sn *Separation) Disturbs(disturbing, disturbed identifier.Image) bool {
-	return sn != nil && sn.effects[disturbed][disturbing] > 0
+	return sn != nil && sn.disturbs[ImagePair{disturbed, disturbing}]
 }
 
 // Harmless reports whether one image certainly does not disturb another.
