Check a configuration before it is sent

Cause: operators learn of a mistake in a configuration only after it is in force, from callers.

Not checked: labels, which jobs name and configurations do not.

--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -27,7 +27,7 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInterferenceList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInterferenceList, cmdConfigCheck, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
@@ -38,6 +38,7 @@
 		"workspaces":   "Guaranteed and borrowed accelerators of workspaces.",
 		"zones":        "Availability zones of the workers.",
 		"instances":    "Entry instances.",
+		"config":       "The operators' configuration of the step job scheduler.",
 		"interference": "Tasks that slow each other down.",
 	}
 
