Check and compare the limits of heads too

Cause: the configuration has gained limits of heads.

Change: `config check` finds negative ones and says what callers notice of a change; limits have their full key.

--- a/decisions/examiner/change.go
+++ b/decisions/examiner/change.go
@@ -44,7 +44,9 @@
 	}
 	co.workspaces(before, after)
 	co.pools(before, after)
-	co.field(General, "limits", BodyLimit, before.BodyLimit, after.BodyLimit, "bodies up to the new size may be sent")
+	co.field(General, "limits", BodyLimit, before.BodyLimit, after.BodyLimit, "requests with larger bodies are refused")
+	co.field(General, "limits", HeadLimit, before.HeadLimit, after.HeadLimit, "requests with larger heads are answered 431")
+	co.field(General, "limits", HeadTimeout, before.HeadTimeout, after.HeadTimeout, "connections whose heads take longer are closed")
 	return co.changes
 }
 
--- a/decisions/examiner/examiner.go
+++ b/decisions/examiner/examiner.go
@@ -60,6 +60,10 @@
 	Guaranteed Field = "guaranteed"
 	// BodyLimit is the maximum size of a body.
 	BodyLimit Field = "bodyLimit"
+	// HeadLimit is the maximum size of a head.
+	HeadLimit Field = "headLimit"
+	// HeadTimeout is the maximum time from the first byte of a head to its end.
+	HeadTimeout Field = "headTimeout"
 
 	// idDigits is the number of hexadecimal digits of a job's id, which follows the prefix of its queue.
 	idDigits    = 16
@@ -118,6 +122,14 @@
 		ex.reach(i, qu)
 		ex.limits(i, qu)
 	}
+	for _, li := range []struct {
+		field Field
+		value int64
+	}{{BodyLimit, int64(po.BodyLimit)}, {HeadLimit, int64(po.HeadLimit)}, {HeadTimeout, int64(po.HeadTimeout)}} {
+		if li.value < 0 {
+			ex.fail(Place{General, 0, li.field}, "give 0 or more; 0 leaves it to the instances", "the value %d of %s is negative", li.value, li.field)
+		}
+	}
 	ex.pools(fleet)
 	ex.workspaces()
 	ex.guarantees(fleet)
