--- a/wagtailcroft/commands.go
+++ b/wagtailcroft/commands.go
@@ -27,17 +27,19 @@
 		cmdTableGet, cmdTableSet, cmdTableDiff, cmdTableHistory, cmdTableStatus,
 		cmdJobsList, cmdJobsShow, cmdJobsCancel,
 		cmdTargetsList, cmdTargetsDrain,
-		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
+		cmdWorkersList, cmdWorkspacesList, cmdZonesList, cmdInterferenceList, cmdConfigCheck, cmdInstancesList, cmdWhy, cmdTrace, cmdVersion,
 	}
 
 	groups = map[string]string{
-		"table":      "The shared table: one row for each workspace.",
-		"jobs":       "Jobs of all workspaces.",
-		"targets":    "Runners and workers.",
-		"workers":    "Workers.",
-		"workspaces": "Guaranteed and borrowed accelerators of workspaces.",
-		"zones":      "Availability zones of the workers.",
-		"instances":  "Entry instances.",
+		"table":        "The shared table: one row for each workspace.",
+		"jobs":         "Jobs of all workspaces.",
+		"targets":      "Runners and workers.",
+		"workers":      "Workers.",
+		"workspaces":   "Guaranteed and borrowed accelerators of workspaces.",
+		"zones":        "Availability zones of the workers.",
+		"instances":    "Entry instances.",
+		"config":       "The operators' configuration of the step job scheduler.",
+		"interference": "Tasks that slow each other down.",
 	}
 
 	cmdVersion = command{
