Release leadership only once all changes before are recorded

Change: the last transaction releases only if nothing before is left to retry; the next try of the flush writes it. Result: the new case of TestRelease fails before and passes now; go test -race of controller passes.

--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -178,12 +179,12 @@
 
 // commit records a batch. It returns false when the term is over. Changes that were rejected
 // because of a conflict are retried in the next round. With release, the last transaction of the batch also
-// releases the leadership.
+// releases the leadership, unless an earlier one has left something to retry.
 func (te *term) commit(ba batch, release bool) bool {
 	rest, ex, renewed := ba.changes, extras{counts: ba.counts, renew: te.renewalDue()}, false
 	for len(rest) > 0 || ex.counts != nil || ex.renew {
 		part, left := split(rest)
-		if release && len(left) == 0 {
+		if release && len(left) == 0 && !te.leftToRetry(ba.changes[:len(ba.changes)-len(part)]) {
 			ex.renew, ex.release = false, true
 		}
 		ok := te.writeChanges(part, ex)
@@ -308,7 +309,19 @@
 		return !ex.renew && !ex.release && ex.counts == nil || te.writeChanges(nil, ex)
 	}
 	half := len(changes) / 2
-	return te.writeChanges(changes[:half], extras{renew: ex.renew, counts: ex.counts}) && te.writeChanges(changes[half:], extras{release: ex.release})
+	if !te.writeChanges(changes[:half], extras{renew: ex.renew, counts: ex.counts}) {
+		return false
+	}
+	return te.writeChanges(changes[half:], extras{release: ex.release && !te.leftToRetry(changes[:half])})
+}
+
+// leftToRetry reports whether a conflict has kept out one of the changes, so that it is written again at once.
+// A row that the store has refused is not.
+func (te *term) leftToRetry(changes []change) bool {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	now := te.Clock.Now()
+	return slices.ContainsFunc(changes, func(ch change) bool { return ch.entry.dirty && now >= ch.entry.refusedUntil })
 }
 
 // markRecorded updates the state of the term after a write that took effect at a time or later.
--- a/wagtailcroftd/controller/release_test.go
+++ b/wagtailcroftd/controller/release_test.go
@@ -150,6 +150,16 @@
 			expect(t, te, st, true, 1)
 		})
 	})
+	t.Run("a row with another version in the first of several transactions: nothing is released before it is written", func(t *testing.T) {
+		play(t, 100, func(te *term, st *rowStore) {
+			te.jobs["aa"].version--
+			te.flush(context.Background())
+			expect(t, te, st, true, len(st.applied))
+			asserter.Equal(t, te.jobs["aa"].dirty, false)
+			asserter.Equal(t, te.jobs["ab"].dirty, false)
+			asserter.Equal(t, st.applied[len(st.applied)-1].Puts[0].Key, recorder.LeadershipKey)
+		})
+	})
 	t.Run("a row that the store refuses keeps out neither the others nor the release", func(t *testing.T) {
 		play(t, 3, func(te *term, st *rowStore) {
 			st.refused = recorder.JobKey(recorder.Jobs, "ac")
