Judge no worker by a run without samples

Cause: a run whose samples were left out because of the bound of a second had a mean of 0, which would have been taken for its pace.

Change: the pace counts only with a sample.

Measured: TestSamples fails without the change.

--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -125,8 +125,9 @@
 			}
 		case ta.Progress-wa.progress >= minProgress && took > 0 && pl.speed > 0:
 			sa.Slowdown = math.Log(took * pl.amount() / progress)
-			te.observe(&wa.history, sa)
-			te.observePace(wo, en, step, wa, ta.Progress, now)
+			if te.observe(&wa.history, sa) {
+				te.observePace(wo, en, step, wa, ta.Progress, now)
+			}
 		case maps.Equal(beside, wa.beside):
 			return // too little progress for a measurement, which goes on
 		}
@@ -134,13 +135,15 @@
 	wa.at, wa.workerClock, wa.progress, wa.beside = now, workerClock, ta.Progress, beside
 }
 
-func (te *term) observe(hi *separator.History, sa separator.Sample) {
+// observe takes a sample, unless there are too many. It reports whether it did.
+func (te *term) observe(hi *separator.History, sa separator.Sample) bool {
 	if te.interference.recent >= maxSamples {
-		return
+		return false
 	}
 	te.interference.samples++
 	te.interference.recent++
 	te.interference.separator.Observe(hi, sa)
+	return true
 }
 
 // observePace compares the pace of a run once, when it is half done, with the run time that is expected of
--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -175,8 +175,13 @@
 		runPaired(t, 1, func(te *term, _ *policy.Policy) {
 			now := te.Clock.Now() + poll
 			after(te, now, 5)
+			te.interference.recent = maxSamples
+			asserter.Equal(t, after(te, now+poll, 50), 0)
+			for _, pl := range te.workers["w-0"].runs {
+				asserter.Equal(t, pl.watch.paced, false) // a run without samples tells nothing of its worker
+			}
 			te.interference.recent = maxSamples - 1
-			asserter.Equal(t, after(te, now+poll, 5), 1)
+			asserter.Equal(t, after(te, now+poll+poll/2, 5), 1)
 			te.refreshPairs(now + poll)
 			asserter.Equal(t, after(te, now+2*poll, 5), 2)
 		})
