Keep the speeds of workers over a takeover in one small row

Change: while workers differ, the row speeds/known goes with a renewal: five bytes a worker and incarnation, every 2 s or as long as 1,000 bytes a second allow (2.3 KB for 350 workers, at most half of a row). A new leader reads it beside its first rounds; runs go before it, and without it speeds are learned anew. All slow workers are known 1 s after a takeover without work.

--- a/decisions/gauger/gauger.go
+++ b/decisions/gauger/gauger.go
@@ -84,6 +84,8 @@
 		kinds   *kinds
 		// evidence tells whether workers differ at all.
 		evidence evidence
+		// remembered is what a former gauger knew.
+		remembered map[Mark]belief
 		// level is what the factors of all workers have in common.
 		level level
 	}
@@ -149,7 +151,8 @@
 	re := ga.workers[ru.Worker]
 	if re == nil || re.incarnation != ru.Incarnation {
 		ga.Forget(ru.Worker)
-		re = &record{incarnation: ru.Incarnation, known: unknown, prior: unknown}
+		assumed, _ := ga.before(ru.Worker, ru.Incarnation)
+		re = &record{incarnation: ru.Incarnation, known: assumed, prior: assumed}
 		ga.workers[ru.Worker] = re
 	}
 	return re
@@ -312,7 +315,7 @@
 func (ga *Gauger) Gauge(id identifier.Worker, incarnation workload.Incarnation, now clock.Millis) Gauge {
 	re := ga.workers[id]
 	if re == nil || re.incarnation != incarnation || re.at == 0 {
-		return Gauge{Factor: 1, Deviation: ga.level.deviation()}
+		return ga.untold(id, incarnation)
 	}
 	known, hasTurned := re.known, re.turnedUntil > now
 	if re.turnedUntil > 0 && !hasTurned {
@@ -326,6 +329,19 @@
 	return out
 }
 
+// untold returns what is known of a worker of which no run has told.
+func (ga *Gauger) untold(id identifier.Worker, incarnation workload.Incarnation) Gauge {
+	assumed, known := ga.before(id, incarnation)
+	if !known {
+		return Gauge{Factor: 1, Deviation: ga.level.deviation()}
+	}
+	out := Gauge{Factor: 1, Deviation: math.Sqrt(assumed.variance)}
+	if math.Abs(assumed.mean) >= minEffect && ga.evidence.differ() {
+		out.Factor = math.Exp(assumed.mean)
+	}
+	return out
+}
+
 // Uneven reports whether workers certainly differ.
 func (ga *Gauger) Uneven() bool { return ga.evidence.differ() }
 
--- a/decisions/gauger/gauger_test.go
+++ b/decisions/gauger/gauger_test.go
@@ -259,3 +259,37 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/3000, "bytes/worker")
 }
+
+func TestMemory(t *testing.T) {
+	pl := learned()
+	memories := pl.gauger.Remember(100)
+	other := gauger.New()
+	other.Restore(memories)
+	t.Run("another gauger knows the speeds at once", func(t *testing.T) {
+		asserter.Equal(t, len(memories), 30)
+		for i, factor := range pl.factors {
+			assertBelow(t, math.Abs(math.Log(other.Gauge(workerID(i), 1, 0).Factor/factor)), tight/2)
+		}
+	})
+	t.Run("another incarnation is not known", func(t *testing.T) {
+		asserter.Equal(t, other.Gauge(workerID(0), 2, 0).Factor, 1.0)
+	})
+	t.Run("a limit keeps the workers that told last", func(t *testing.T) {
+		asserter.Equal(t, len(pl.gauger.Remember(7)), 7)
+	})
+	t.Run("even workers leave nothing to remember", func(t *testing.T) {
+		even := newPlant(1, evenly(30, 1)...)
+		for range 60 {
+			even.job(10)
+		}
+		asserter.Equal(t, len(even.gauger.Remember(100)), 0)
+	})
+	t.Run("runs go before what is remembered", func(t *testing.T) {
+		changed := newPlant(2, evenly(30, 1.6, 1, 0.6)...)
+		changed.gauger.Restore(memories)
+		for range 60 {
+			changed.job(10)
+		}
+		assertBelow(t, changed.deviation(), tight/2)
+	})
+}
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -118,6 +118,12 @@
 // ProgressState defines model for Progress.State.
 type ProgressState string
 
+// Speeds Table speeds, key known. What the leader knows of the speeds of workers, written while they differ, so that the next leader knows it too.
+type Speeds struct {
+	// Workers Five bytes for each worker: a mark of its id and incarnation (4 bytes, the highest first), and the logarithm of its factor in 32nds (1 byte, signed).
+	Workers []byte `json:"workers"`
+}
+
 // Stage One step of one occurrence.
 type Stage struct {
 	// At Index of the stage; occurrence * number of steps + step.
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -246,6 +246,9 @@
 	if ex.counts != nil {
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.PendingCountsKey, Value: recorder.Encode(ledger.PendingCounts{Queues: ex.counts})})
 	}
+	if ex.renew {
+		tr.Puts = append(tr.Puts, te.duePut()...)
+	}
 	for i := range changes {
 		tr.Add(changes[i].tr)
 	}
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -10,6 +10,9 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
 
 const (
@@ -17,6 +20,10 @@
 	completeProgress = 100 * meter.Percent(1)
 	// slowFactor is the factor from which on a worker is named as slow.
 	slowFactor = 1.1
+	// minSpeedsInterval is the shortest time between two records of the speeds, and speedsBytesPerSecond is
+	// what they may take of the link of an instance, a third of what control may take in all.
+	minSpeedsInterval    = 2 * clock.Second
+	speedsBytesPerSecond = 1000
 )
 
 // factorBounds are the upper bounds of the factors that are counted together, and their labels.
@@ -160,6 +167,44 @@
 	return clock.Millis(float64(ran) / factor)
 }
 
+// loadSpeeds reads what the former leader knew of the speeds of workers. Without it they are learned anew.
+func (te *term) loadSpeeds() {
+	rows, _, err := tailer.ReadTable(te.ctx, te.Store, te.Clock, recorder.Speeds)
+	if err != nil {
+		te.log.Warn().Err(err).Msg("speedsNotLoaded")
+		return
+	}
+	for _, ro := range rows {
+		memories, err := recorder.DecodeSpeeds(ro)
+		if err != nil || ro.Name != recorder.SpeedsKey.Name {
+			te.log.Warn().Err(err).Str("row", ro.Name).Msg("speedsInvalid")
+			continue
+		}
+		te.mu.Lock()
+		te.gauger.Restore(memories)
+		te.mu.Unlock()
+		te.log.Info().Int("workers", len(memories)).Msg("speedsLoaded")
+	}
+}
+
+// duePut returns the row of the speeds if it is due. It goes with a renewal, so that it takes no call of its
+// own; if it is lost, the next one is as good.
+func (te *term) duePut() []rowstore.Put {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	now := te.Clock.Now()
+	if now < te.speedsDue {
+		return nil
+	}
+	memories := te.gauger.Remember(recorder.MaxSpeeds(te.op.RowLimit))
+	if len(memories) == 0 {
+		return nil
+	}
+	value := recorder.EncodeSpeeds(memories)
+	te.speedsDue = now + max(minSpeedsInterval, clock.Millis(len(value))*clock.Second/speedsBytesPerSecond)
+	return []rowstore.Put{{Key: recorder.SpeedsKey, Value: value}}
+}
+
 // countFactor counts a run that starts by the factor of its worker.
 func (te *term) countFactor(wo *worker, now clock.Millis) {
 	factor := te.factorOf(wo, now)
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -93,7 +93,9 @@
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
 		// gauger knows the speeds of the workers.
-		gauger       *gauger.Gauger
+		gauger *gauger.Gauger
+		// speedsDue is when the speeds may be recorded again.
+		speedsDue    clock.Millis
 		interference interference
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
@@ -221,6 +223,7 @@
 	wg.Go(te.runDispatcher)
 	wg.Go(te.offerTransfers)
 	wg.Go(te.awaitFormerEnd)
+	wg.Go(te.loadSpeeds)
 	if te.Machines != nil {
 		wg.Go(te.runMaintenance)
 	}
--- a/wagtailcroftd/participant/speeds_test.go
+++ b/wagtailcroftd/participant/speeds_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/wagtailcroft/wagtailcroft/shared/asserter"
 	"github.com/wagtailcroft/wagtailcroft/shared/gen/operator"
+	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/recorder"
 )
 
 const (
@@ -94,20 +95,39 @@
 	})
 }
 
-// TestTakeoverRelearnsSpeeds kills the leader while batch work goes on: the next one has learned most
-// speeds from the work that it finds five seconds after it has begun to lead.
+// takeOver kills the leader, and returns when another one leads and the former is back.
+func (ha *harness) takeOver() {
+	former, name := ha.leader(), ha.leaderName()
+	ha.kill(former)
+	ha.awaitLeaderOtherThan(name)
+	ha.restart(former)
+	ha.sleep(time.Second)
+}
+
+// TestTakeoverKeepsSpeeds kills the leader while nothing runs: the next one knows the speeds a second after it
+// has begun to lead.
+func TestTakeoverKeepsSpeeds(t *testing.T) {
+	runScenario(t, 3, unevenRunners, func(ha *harness) {
+		ha.setObjectives()
+		ha.makeUneven()
+		ha.takeOver()
+		right, wrong := ha.knownSlow()
+		asserter.Equal(ha.t, wrong, 0)
+		asserter.Equal(ha.t, right, unevenRunners/2)
+		asserter.Equal(ha.t, ha.urgentOnSlow(), 0)
+	})
+}
+
+// TestTakeoverRelearnsSpeeds has the row of the speeds spoiled before the leader is killed beside batch work:
+// the next one has learned most speeds five seconds after it has begun to lead.
 func TestTakeoverRelearnsSpeeds(t *testing.T) {
 	runScenario(t, 3, unevenRunners, func(ha *harness) {
 		ha.setObjectives()
 		ha.makeUneven()
 		ha.mustSubmit(ha.nonLeader(), ha.job(batchPrefix, seconds(4), tasks(4*unevenRunners, 2)))
 		ha.sleep(500 * time.Millisecond)
-		former := ha.leader()
-		name := ha.leaderName()
-		ha.kill(former)
-		ha.awaitLeaderOtherThan(name)
-		ha.restart(former)
-		ha.sleep(time.Second)
+		ha.cluster.Store.Put(string(recorder.Speeds), recorder.SpeedsKey.Name, "spoiled")
+		ha.takeOver()
 		ha.runBatch()
 		right, wrong := ha.knownSlow()
 		asserter.Equal(ha.t, wrong, 0)
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -25,6 +25,7 @@
 	Cancels       rowstore.Table = "cancels"
 	PendingCounts rowstore.Table = "tallies"
 	Waves         rowstore.Table = "waves"
+	Speeds        rowstore.Table = "speeds"
 
 	bitsPerByte = 8
 )
@@ -36,6 +37,9 @@
 	// PendingCountsKey is the key of the row of the pending-job counts. A job is pending until its
 	// first task has started.
 	PendingCountsKey = rowstore.Key{Table: PendingCounts, Name: "pending"}
+
+	// SpeedsKey is the key of the row of the speeds of workers.
+	SpeedsKey = rowstore.Key{Table: Speeds, Name: "known"}
 )
 
 // MemberKey returns the key of the row of an instance.
