--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -246,9 +246,8 @@
 	if ex.counts != nil {
 		tr.Puts = append(tr.Puts, rowstore.Put{Key: recorder.PendingCountsKey, Value: recorder.Encode(ledger.PendingCounts{Queues: ex.counts})})
 	}
-	if ex.renew {
-		tr.Puts = append(tr.Puts, te.duePut()...)
-	}
+	speeds := te.duePut(ex)
+	tr.Puts = append(tr.Puts, speeds...)
 	for i := range changes {
 		tr.Add(changes[i].tr)
 	}
@@ -272,6 +271,9 @@
 			te.requestTransfer(wr.first)
 			te.Store.CloseIdleConnections()
 			clock.Sleep(te.ctx, te.Clock, elector.RetryPause)
+		case len(speeds) > 0:
+			te.giveUpSpeeds(err)
+			return te.writeChanges(changes, ex)
 		default:
 			te.log.Error().Err(err).Int("jobs", len(changes)).Msg("commitRejected")
 			return te.isolate(changes, ex)
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -189,11 +189,11 @@
 
 // duePut returns the row of the speeds if it is due. It goes with a renewal, so that it takes no call of its
 // own; if it is lost, the next one is as good.
-func (te *term) duePut() []rowstore.Put {
+func (te *term) duePut(ex extras) []rowstore.Put {
 	te.mu.Lock()
 	defer te.mu.Unlock()
 	now := te.Clock.Now()
-	if now < te.speedsDue {
+	if !ex.renew || now < te.speedsDue || te.speedsRefused {
 		return nil
 	}
 	memories := te.gauger.Remember(recorder.MaxSpeeds(te.op.RowLimit))
@@ -205,6 +205,14 @@
 	return []rowstore.Put{{Key: recorder.SpeedsKey, Value: value}}
 }
 
+// giveUpSpeeds records speeds no more, because the store has refused a transaction with them.
+func (te *term) giveUpSpeeds(err error) {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	te.speedsRefused = true
+	te.log.Error().Err(err).Msg("speedsRefused")
+}
+
 // countFactor counts a run that starts by the factor of its worker.
 func (te *term) countFactor(wo *worker, now clock.Millis) {
 	factor := te.factorOf(wo, now)
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -95,8 +95,10 @@
 		// gauger knows the speeds of the workers.
 		gauger *gauger.Gauger
 		// speedsDue is when the speeds may be recorded again.
-		speedsDue    clock.Millis
-		interference interference
+		speedsDue clock.Millis
+		// speedsRefused means that the store may not accept their row, so that it is written no more.
+		speedsRefused bool
+		interference  interference
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
 		pacer       *pacer.Pacer
