--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -93,8 +93,12 @@
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
 		// gauger knows the speeds of the workers.
-		gauger       *gauger.Gauger
-		interference interference
+		gauger *gauger.Gauger
+		// speedsDue is when the speeds may be recorded again.
+		speedsDue clock.Millis
+		// speedsRefused means that the store may not accept their row, so that it is written no more.
+		speedsRefused bool
+		interference  interference
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
 		pacer       *pacer.Pacer
@@ -221,6 +225,7 @@
 	wg.Go(te.runDispatcher)
 	wg.Go(te.offerTransfers)
 	wg.Go(te.awaitFormerEnd)
+	wg.Go(te.loadSpeeds)
 	if te.Machines != nil {
 		wg.Go(te.runMaintenance)
 	}
