Keep the step of a known run, and put failing workers behind slow ones

Change: a run is found by its task and number, and keeps its step; whether workers differ takes at least 24 comparisons; suspect and isolation costs are raised in proportion; runs begun on a cold worker do not count, and an inherited run counts from its first progress; costs are worked out only where a task fits. Result: TestManyStepsOfEvenWorkers and the case of TestGaugedRuns fail before and pass now; recorded plans as before.

--- a/decisions/gauger/estimate.go
+++ b/decisions/gauger/estimate.go
@@ -11,6 +11,8 @@
 	evidenceWindow = 400.0
 	// minEvidence is how many standard deviations the agreement of a worker's runs has to be above chance.
 	minEvidence = 4.0
+	// minCompared is the number of comparisons without which chance cannot be excluded.
+	minCompared = 24
 	// minSlope is how much of a predicted difference has to be seen again.
 	minSlope = 0.4
 	// maxContrast is the number of steps of a kind that a step is compared with.
@@ -26,7 +28,11 @@
 	// the earlier runs of a worker predict with what its next run shows. Both are compared with those of the
 	// other workers of the step, so that no error which these share counts. It assumes nothing of the size of
 	// errors.
-	evidence struct{ product, square, predicted float64 }
+	evidence struct {
+		product, square, predicted float64
+		// compared is the number of comparisons.
+		compared int
+	}
 
 	// contrast is the mean of what was predicted and seen of the runs of a step, or of the steps of a kind.
 	contrast struct{ count, predicted, seen float64 }
@@ -68,11 +74,12 @@
 	ev.product = keep*ev.product + dp*ds
 	ev.square = keep*ev.square + dp*ds*dp*ds
 	ev.predicted = keep*ev.predicted + dp*dp
+	ev.compared++
 }
 
 // differ reports whether workers certainly differ.
 func (ev *evidence) differ() bool {
-	return ev.product > minEvidence*math.Sqrt(ev.square) && ev.product > minSlope*ev.predicted
+	return ev.compared >= minCompared && ev.product > minEvidence*math.Sqrt(ev.square) && ev.product > minSlope*ev.predicted
 }
 
 // estimate returns what samples tell of a worker's factor. Runs that lie far from the others count less, and
--- a/decisions/gauger/gauger.go
+++ b/decisions/gauger/gauger.go
@@ -112,9 +112,9 @@
 
 	// sample is what one run tells of its worker.
 	sample struct {
-		step  *step
-		index int
-		run   meter.RunNumber
+		step *step
+		task workload.TaskKey
+		run  meter.RunNumber
 		// total is the logarithm of the run time, and variance the variance of its measurement.
 		total, variance float64
 		// residual and precision are what the run has contributed to its step.
@@ -137,13 +137,12 @@
 		return
 	}
 	re := ga.record(ru)
-	st := ga.kinds.step(ru)
-	sa := measured(ru, st)
-	if i := re.find(st, ru); i >= 0 {
-		ga.refine(re, i, sa, now)
+	// The step of a run that is known is kept, also when so many other steps have come that it is forgotten.
+	if i := re.find(ru); i >= 0 {
+		ga.refine(re, i, measured(ru, re.samples[i].step), now)
 		return
 	}
-	ga.add(re, sa, now)
+	ga.add(re, measured(ru, ga.kinds.step(ru)), now)
 }
 
 // record returns the record of the worker of a run. Another incarnation may be of another kind.
@@ -160,7 +159,7 @@
 
 // measured returns what a run tells. A percentage is rounded down.
 func measured(ru Run, st *step) sample {
-	sa := sample{step: st, index: ru.Task.Index, run: ru.Number, percent: ru.Percent, elapsed: ru.Elapsed}
+	sa := sample{step: st, task: ru.Task, run: ru.Number, percent: ru.Percent, elapsed: ru.Elapsed}
 	begun := startError / float64(ru.Elapsed)
 	if ru.Done {
 		sa.total, sa.variance = math.Log(float64(ru.Elapsed)), begun*begun
@@ -172,9 +171,10 @@
 	return sa
 }
 
-func (re *record) find(st *step, ru Run) int {
+// find returns the index of the sample of a run, or -1.
+func (re *record) find(ru Run) int {
 	for i := range re.samples {
-		if sa := &re.samples[i]; sa.step == st && sa.index == ru.Task.Index && sa.run == ru.Number {
+		if sa := &re.samples[i]; sa.task == ru.Task && sa.run == ru.Number {
 			return i
 		}
 	}
--- a/decisions/gauger/gauger_test.go
+++ b/decisions/gauger/gauger_test.go
@@ -234,6 +234,36 @@
 
 // BenchmarkRecord measures one report of a run on a fleet of 3,000 workers of which all is known, and the
 // memory that the fleet takes.
+// TestManyStepsOfEvenWorkers has more steps at work than are kept, each of one task, whose progress is reported
+// again and again: a run whose step is forgotten meanwhile must not count as another one.
+func TestManyStepsOfEvenWorkers(t *testing.T) {
+	const workers, seconds = 1500, 60
+	rn := rand.New(rand.NewPCG(1, 7))
+	ga := gauger.New()
+	lengths, begun, jobs := make([]float64, workers), make([]clock.Millis, workers), make([]int, workers)
+	for i := range workers {
+		lengths[i], begun[i] = 20_000*math.Exp(0.4*rn.NormFloat64()), clock.Millis(rn.IntN(20_000))
+	}
+	for now := 20 * clock.Second; now < (20+seconds)*clock.Second; now += clock.Second {
+		for i := range workers {
+			ran := float64(now - begun[i])
+			ru := gauger.Run{
+				Task: workload.TaskKey{Job: identifier.Job(fmt.Sprintf("j%d-%d", i, jobs[i]))}, Number: 1, Queue: "q", Estimate: 20_000, Worker: workerID(i), Incarnation: 1,
+				Percent: meter.Percent(100 * ran / lengths[i]), Elapsed: now - begun[i],
+			}
+			if ran >= lengths[i] {
+				ru.Percent, ru.Elapsed, ru.Done = 100, clock.Millis(lengths[i]), true
+				lengths[i], begun[i], jobs[i] = 20_000*math.Exp(0.4*rn.NormFloat64()), now, jobs[i]+1
+			}
+			ga.Record(ru, now)
+		}
+	}
+	asserter.Equal(t, ga.Uneven(), false)
+	for i := range workers {
+		asserter.Equal(t, ga.Gauge(workerID(i), 1, (20+seconds)*clock.Second).Factor, 1)
+	}
+}
+
 func BenchmarkRecord(b *testing.B) {
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/decisions/gauger/memory.go
+++ b/decisions/gauger/memory.go
@@ -80,7 +80,7 @@
 		ga.remembered[me.Mark] = belief{mean: float64(me.Effect) / effectSteps, variance: rememberedDeviation * rememberedDeviation}
 	}
 	if ga.evidence.product < rememberedEvidence {
-		ga.evidence = evidence{product: rememberedEvidence, square: rememberedEvidence, predicted: rememberedEvidence}
+		ga.evidence = evidence{product: rememberedEvidence, square: rememberedEvidence, predicted: rememberedEvidence, compared: minCompared}
 	}
 }
 
--- a/decisions/planner/cost.go
+++ b/decisions/planner/cost.go
@@ -9,11 +9,11 @@
 	// workerMillis is the cost of a whole worker that is left free in pieces. It is a power of two, so that
 	// it scales without rounding.
 	workerMillis = 1024.0
-	// suspectMillis exceeds the costs of room and distance, so that suspect workers come last.
-	suspectMillis = 10 * workerMillis
+	// suspectMillis exceeds the costs of room, distance and speed, so that suspect workers come last.
+	suspectMillis = 1024 * workerMillis
 	// isolationMillis exceeds them too, so that a task that may crash its worker shares one only if it must,
 	// least of all with another such task.
-	isolationMillis = 5 * workerMillis
+	isolationMillis = suspectMillis / 2
 )
 
 type (
--- a/decisions/planner/pace.go
+++ b/decisions/planner/pace.go
@@ -41,7 +41,12 @@
 
 // doubtful returns the factor that the worker is not expected to exceed by much. A worker of which little is
 // known may be slow, and a gang waits for the slowest of many.
-func (wo *Worker) doubtful() float64 { return wo.factor() * math.Exp(wo.Deviation) }
+func (wo *Worker) doubtful() float64 {
+	if wo.Deviation == 0 {
+		return wo.factor()
+	}
+	return wo.factor() * math.Exp(wo.Deviation)
+}
 
 // RunTime returns the expected run time of a task of a step on a worker.
 func (in *Input) RunTime(jo *workload.Job, step int, wo *Worker) clock.Millis {
--- a/decisions/planner/pack.go
+++ b/decisions/planner/pack.go
@@ -73,7 +73,9 @@
 		if sl.worker.doubtful() <= most {
 			spread[i] = spreadLeft(ca, sl)
 		}
-		fixed[i] = ro.fixedCost(ca, sl)
+		if spread[i] > 0 && left[i].Fits(req) {
+			fixed[i] = ro.fixedCost(ca, sl)
+		}
 	}
 	found := make([]*slot, 0, count)
 	for range count {
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -47,6 +47,9 @@
 	ru := te.gaugedRun(wo, key, jo, pl.run)
 	ru.Percent = ta.Progress
 	if pl.inherited {
+		if pl.origin.at == 0 && ta.Progress == 0 {
+			return // a gang may still be waiting for members
+		}
 		if pl.origin.at == 0 {
 			pl.origin = origin{at: now, percent: ta.Progress}
 		}
@@ -81,7 +84,7 @@
 	if en == nil || pl == nil || pl.startedAt == 0 || pl.resumed || pl.speed != throttler.FullSpeed || pl.incarnation != wo.told {
 		return nil, nil, nil
 	}
-	if pl.tries != 1 && !pl.inherited || wo.mixedLoad || wo.failureStreakRuns > 0 {
+	if pl.startedAt < wo.coldUntil || pl.tries != 1 && !pl.inherited || wo.mixedLoad || wo.failureStreakRuns > 0 {
 		return nil, nil, nil
 	}
 	st, ta := en.job.Task(key)
--- a/wagtailcroftd/controller/speeds_test.go
+++ b/wagtailcroftd/controller/speeds_test.go
@@ -37,6 +37,7 @@
 		"other incarnation":    func(_ *term, wo *worker, _ *placement) { wo.told = 9 },
 		"beside mixed load":    func(_ *term, wo *worker, _ *placement) { wo.mixedLoad = true },
 		"on a failing worker":  func(_ *term, wo *worker, _ *placement) { wo.failureStreakRuns = 1 },
+		"begun on a cold one":  func(_ *term, wo *worker, pl *placement) { wo.coldUntil = pl.startedAt + 1 },
 		"best-effort":          func(te *term, _ *worker, _ *placement) { te.jobs["a"].job.Steps[0].BestEffort = true },
 		"long-running":         func(te *term, _ *worker, _ *placement) { te.jobs["a"].job.Steps[0].LongRunning = true },
 		"far from its data":    func(te *term, _ *worker, _ *placement) { te.jobs["a"].job.Steps[0].DataRack = "far" },
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -45,7 +45,7 @@
 		listed bool
 		// reportedAt is when this leader last read an entry of the incarnation in the report.
 		reportedAt clock.Millis
-		// coldUntil is when the worker is no longer slow.
+		// coldUntil is when the worker is no longer slow; 0 means that it has not been since its start.
 		coldUntil clock.Millis
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
@@ -252,7 +252,9 @@
 		te.noteSilence(wo, false, wo.clockAt, wo.lastSign(), now) // it may have restarted before its silence was noticed
 	}
 	wo.report, wo.reportedAt = re, now
-	wo.coldUntil = now + re.Cold
+	if re.Cold > 0 {
+		wo.coldUntil = now + re.Cold
+	}
 	if re.Draining {
 		wo.leavesAt = now + re.Remaining
 	}
