Pause before a leader that closes connections is dialed again

Cause: AwaitExit dialed again at once after each connection that was accepted and closed. Where the leader's gatekeeper turns connections away, that spins. Change: a pause of 10 ms that doubles up to 0.5 s while connections are closed soon; none after one that lasted 0.5 s, so that the end of the leader's process is still known at once.

--- a/wagtailcroftd/messenger/messenger.go
+++ b/wagtailcroftd/messenger/messenger.go
@@ -48,6 +48,9 @@
 	pingTimeout = 300 * clock.Millis(1)
 	// dialPause is the pause between two attempts to connect to a leader that does not answer.
 	dialPause = 500 * clock.Millis(1)
+	// firstPause is the first pause after a connection that was closed soon; each next one is twice as long, up to
+	// dialPause. The connection of a process that ends may close shortly before its listener does.
+	firstPause = 10 * clock.Millis(1)
 	// maxTransferRequests is how many instances are asked to acquire leadership. Asking one is
 	// not enough, because it may be cut off from the store too; if all were asked, they would
 	// all try at the same time.
@@ -176,7 +179,7 @@
 // refused. It returns false if ctx is done first. A process that cannot be reached for another
 // reason may still be running.
 func (me *Messenger) AwaitExit(ctx context.Context, address string) bool {
-	for ctx.Err() == nil {
+	for pause := firstPause; ctx.Err() == nil; {
 		bound, cancel := me.Clock.WithTimeout(ctx, dialTimeout)
 		conn, err := me.Dial(bound, "tcp", address)
 		cancel()
@@ -187,11 +190,18 @@
 			clock.Sleep(ctx, me.Clock, dialPause)
 			continue
 		}
+		began := me.Clock.Now()
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		_, err = conn.Read(make([]byte, 1)) // the peer never sends data, so this returns only when the connection ends
 		me.Log.Debug().AnErr("end", err).Str("address", address).Msg("leaderConnectionClosed")
 		stop()
 		_ = conn.Close()
+		if me.Clock.Now()-began >= dialPause {
+			pause = firstPause
+			continue
+		}
+		clock.Sleep(ctx, me.Clock, pause)
+		pause = min(2*pause, dialPause)
 	}
 	return false
 }
