Let all instances of a fleet share an address

Cause: at most 16 connections of other instances were taken from one address, but all instances on one machine or behind one address translation share theirs, and each keeps a connection to the leader. Change: three quarters of the connections of other instances, at least 400, may come from one address.

--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -57,12 +57,14 @@
 	// PeerListener is the listener of other instances.
 	PeerListener shedder.Listener = "peers"
 
-	// maxCheckConnections, maxOperatorConnections and maxPeerConnections limit the connections of those who
-	// check readiness or read metrics, of operators, and of one machine with other instances. Another
-	// instance has at most four: its calls, its watch of the leader, a ping and one that is being replaced.
+	// maxCheckConnections and maxOperatorConnections limit the connections of those who check readiness or
+	// read metrics, and of operators.
 	maxCheckConnections    = 16
 	maxOperatorConnections = 32
-	maxPeerConnections     = 16
+	// addressShare is the fraction of the connections of other instances that may come from one address, and
+	// minPerAddress the least number: all instances of a fleet may share an address.
+	addressShare  = 0.75
+	minPerAddress = 400
 	// operatorBodyLimit is the limit of the body of an operator's call, and peerMessageLimit that of a
 	// message of another instance; both are far above what is sent.
 	operatorBodyLimit meter.Bytes = 64 << 10
@@ -167,7 +169,7 @@
 		ReadinessListener: {Connections: min(few, maxCheckConnections)},
 		OperatorListener:  {Connections: min(few, maxOperatorConnections)},
 		MetricsListener:   {Connections: min(few, maxCheckConnections)},
-		PeerListener:      {Connections: most, PerAddress: maxPeerConnections, KeepsQuiet: true},
+		PeerListener:      {Connections: most, PerAddress: max(int(float64(most)*addressShare), minPerAddress), KeepsQuiet: true},
 	}
 }
 
