Complete a GET or DELETE with a body before its handler runs

Cause: the handlers of GET and DELETE do not read a body, so a complete request with one stayed in phase Body while it ran, and could be reset in the middle of it, although a complete request is never closed. Change: the gatekeeper reads up to 256 KiB of such a body first, 1 KiB at a time; one that is malformed or cut off does not run. Measured: TestBodiesNotRead failed in its 4 subtests of complete requests and 2 of malformed ones before, passes now with the race detector.

--- a/wagtailcroftd/gatekeeper/gatekeeper.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper.go
@@ -6,6 +6,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -25,6 +27,10 @@
 	// maxHeadBytes is the limit of net/http itself, which ends a head that the scanner has lost track of
 	// because it was received together with the request before it.
 	maxHeadBytes = 1 << 20
+	// drainBytes is how much of a body is read before a handler that does not read it, as much as net/http reads
+	// after it, and drainBuffer is how much at once.
+	drainBytes  = 256 << 10
+	drainBuffer = 1 << 10
 
 	// headTooLarge means that a head was refused with 431.
 	headTooLarge shedder.Reason = "headTooLarge"
@@ -121,7 +127,13 @@
 // serve notes when a request is complete and what its handler keeps of its body.
 func (ga *Gatekeeper) serve(next http.Handler, wr http.ResponseWriter, rq *http.Request) {
 	if co, guarded := rq.Context().Value(connKey{}).(*conn); guarded {
-		if rq.Body == nil || rq.Body == http.NoBody {
+		whole, err := drain(rq)
+		if err != nil {
+			wr.Header().Set("Connection", "close")
+			wr.WriteHeader(http.StatusBadRequest) // a request that is not complete must not run
+			return
+		}
+		if whole {
 			co.enter(shedder.Serving)
 		} else {
 			rq.Body = &body{ReadCloser: rq.Body, conn: co}
@@ -130,6 +142,30 @@
 	next.ServeHTTP(wr, rq)
 }
 
+// drain reads the body of a request whose handler does not, unless it is too large. It reports whether the
+// request is complete.
+func drain(rq *http.Request) (bool, error) {
+	if rq.Body == nil || rq.Body == http.NoBody {
+		return true, nil
+	}
+	if rq.Method != http.MethodGet && rq.Method != http.MethodDelete || rq.ContentLength > drainBytes {
+		return false, nil
+	}
+	buffer := make([]byte, drainBuffer)
+	for left := drainBytes; left > 0; {
+		n, err := rq.Body.Read(buffer)
+		if errors.Is(err, io.EOF) {
+			rq.Body = http.NoBody
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		left -= n
+	}
+	return false, nil
+}
+
 // Run closes overdue connections and logs what was closed, until ctx is done.
 func (ga *Gatekeeper) Run(ctx context.Context) {
 	for last := ga.Clock.Now(); clock.Sleep(ctx, ga.Clock, sweepInterval); {
--- a/wagtailcroftd/gatekeeper/gatekeeper_test.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper_test.go
@@ -234,6 +234,65 @@
 	})
 }
 
+// newIgnorantRig serves a handler that does not read the body. It tells when it has begun, and answers when it
+// is released.
+func newIgnorantRig(t testing.TB) (ri *rig, begun, release chan struct{}) {
+	t.Helper()
+	ri, begun, release = &rig{cl: clock.NewFake(0)}, make(chan struct{}), make(chan struct{})
+	ri.ga = newGatekeeper(ri.cl)
+	ln := listen(t)
+	ri.address = ln.Addr().String()
+	sv := ri.ga.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-release
+	}))
+	go func() { _ = sv.Serve(ri.ga.Guard(ln, front)) }()
+	t.Cleanup(func() { _ = sv.Close() })
+	return ri, begun, release
+}
+
+func TestBodiesNotRead(t *testing.T) {
+	const length = "\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		for name, text := range map[string]string{
+			"with a length": length + strings.Repeat("a", 900),
+			"in chunks":     "\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+		} {
+			t.Run("a complete request is not closed while its handler runs: "+method+" "+name, func(t *testing.T) {
+				ri, begun, release := newIgnorantRig(t)
+				nc := ri.dial(t, method+" / HTTP/1.1"+text)
+				<-begun
+				ri.awaitPhase(t, shedder.Serving)
+				ri.cl.Advance(10_001)
+				ri.ga.sweep(ri.cl.Now(), false)
+				release <- struct{}{}
+				asserter.Equal(t, status(nc), "HTTP/1.1 200")
+			})
+		}
+		t.Run("the handler does not begin before the body is complete: "+method, func(t *testing.T) {
+			ri, begun, _ := newIgnorantRig(t)
+			nc := ri.dial(t, method+" / HTTP/1.1"+length+"a")
+			ri.awaitPhase(t, shedder.Body)
+			ri.cl.Advance(10_001)
+			ri.ga.sweep(ri.cl.Now(), false)
+			asserter.Equal(t, status(nc), "")
+			asserter.Equal(t, len(begun), 0)
+		})
+		t.Run("one with a malformed body does not run: "+method, func(t *testing.T) {
+			ri, begun, _ := newIgnorantRig(t)
+			nc := ri.dial(t, method+" / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n")
+			asserter.Equal(t, status(nc), "HTTP/1.1 400")
+			asserter.Equal(t, len(begun), 0)
+		})
+		t.Run("the handler does not wait for a body that is too large to be drained: "+method, func(t *testing.T) {
+			ri, begun, release := newIgnorantRig(t)
+			ri.dial(t, method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
+			<-begun
+			release <- struct{}{}
+		})
+	}
+}
+
 func TestConnections(t *testing.T) {
 	t.Run("silent ones make room for an ordinary caller", func(t *testing.T) {
 		ri := newRig(t)
