Stop waiting to decode a body at the call's deadline

Cause: a large body waited for its turn without end, also after its client had left or its deadline had passed. Change: at the deadline it is answered 503 of the new kind busy, whose outcome is notRun: nothing has been stored. The counter clientsShed counts it as callers.decoding.

--- a/shared/problem/kinds.go
+++ b/shared/problem/kinds.go
@@ -33,6 +33,7 @@
 	JobFailed         Kind = "jobFailed"
 	Unconfirmed       Kind = "unconfirmed"
 	Stopping          Kind = "stopping"
+	Busy              Kind = "busy"
 	PeerUnavailable   Kind = "peerUnavailable"
 	KeptByPlatform    Kind = "keptByPlatform"
 	Internal          Kind = "internal"
@@ -70,6 +71,7 @@
 	JobFailed:         {"The job failed after it was started", "check the reason, then submit the job again with a new key", Failed},
 	Unconfirmed:       {"This instance cannot confirm that its copy of the table is current", "send the request to another instance, or try again after the stated time", NotRun},
 	Stopping:          {"The instance is shutting down", "send the request to another instance", NotRun},
+	Busy:              {"This instance is busy with the requests of others", "send the request to another instance, or try again after the stated time", NotRun},
 	PeerUnavailable:   {"The instance that has this information cannot be reached", remedyTryLater, NoOutcome},
 	KeptByPlatform:    {"This is managed by the platform", "write the configuration to the platform's store; see docs/operators/step-jobs.md", NoOutcome},
 	Internal:          {"Internal error", "report it with the request id and the log lines from around that time", NoOutcome},
--- a/wagtailcroftd/participant/participant.go
+++ b/wagtailcroftd/participant/participant.go
@@ -199,7 +199,7 @@
 
 // ClientHandler returns the handler of the client API.
 func (pa *Participant) ClientHandler() http.Handler {
-	return pa.tracer.Handler("entry.caller", platform.NewCallerHandler(pa.intake, pa.cl))
+	return pa.tracer.Handler("entry.caller", platform.NewCallerHandler(pa.intake, pa.cl, pa.metrics))
 }
 
 // OperatorHandler returns the handler of the operator API and of the metrics.
--- a/wagtailcroftd/replier/replier.go
+++ b/wagtailcroftd/replier/replier.go
@@ -49,6 +49,7 @@
 	problem.StoreUnavailable:  http.StatusServiceUnavailable,
 	problem.Unconfirmed:       http.StatusServiceUnavailable,
 	problem.Stopping:          http.StatusServiceUnavailable,
+	problem.Busy:              http.StatusServiceUnavailable,
 	problem.PeerUnavailable:   http.StatusServiceUnavailable,
 	problem.KeptByPlatform:    http.StatusNotImplemented,
 	problem.UnknownJob:        http.StatusNotFound,
