Give connections of other instances small kernel buffers too

Cause: the listener of other instances was the only one that was not opened by gatekeeper.Listen. Change: it is. Measured: the tests of the program and of messenger pass; no test of its own.

--- a/wagtailcroftd/cmd_schedule.go
+++ b/wagtailcroftd/cmd_schedule.go
@@ -184,7 +184,7 @@
 	if address == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp", address)
+	ln, err := gatekeeper.Listen(context.Background(), address)
 	if err != nil {
 		return fmt.Errorf("%w; stop the process that uses the address or change the address in the settings", err)
 	}
