Give a client time for each part of an answer, not for all of it

Cause: one deadline held for a whole Write, so that a large view of an operator on a slow link was cut while it was read. Change: answers are written in parts of 4 KiB, each with the full time, and what is taken counts as progress.

--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -27,6 +27,8 @@
 	// lingerBytes is how much.
 	lingerTime  = clock.Second / 2
 	lingerBytes = 256 << 10
+	// writeBytes is the size of the parts of an answer, for each of which a client has AnswerTimeout.
+	writeBytes = 4 << 10
 )
 
 type (
@@ -87,7 +89,7 @@
 	return n, err
 }
 
-// update changes the state of the connection by a function, which returns the number of bytes received, and
+// update changes the state of the connection by a function, which returns the number of bytes received or taken, and
 // closes those connections that the change makes a burden. It reports whether this one is among them.
 func (co *conn) update(change func() int) bool {
 	ga := co.ga
@@ -149,15 +151,14 @@
 	}
 }
 
-// Write writes a part of an answer. A client that does not take it in time is disconnected.
+// Write writes a part of an answer. A client that makes no progress with it is disconnected.
 func (co *conn) Write(p []byte) (int, error) {
 	before := shedder.Serving
 	co.update(func() int {
 		before, co.phase = co.phase, shedder.Answering
 		return 0
 	})
-	_ = co.SetWriteDeadline(time.Now().Add(co.ga.AnswerTimeout.Duration())) // a closed connection fails below
-	n, err := co.Conn.Write(p)
+	n, err := co.writeParts(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		co.ga.note(co.listener, slowAnswer)
 	}
@@ -175,6 +176,20 @@
 	return n, err
 }
 
+// writeParts writes in parts, so that the time is that without progress.
+func (co *conn) writeParts(p []byte) (int, error) {
+	written := 0
+	for {
+		_ = co.SetWriteDeadline(time.Now().Add(co.ga.AnswerTimeout.Duration())) // a closed connection fails below
+		n, err := co.Conn.Write(p[written:min(written+writeBytes, len(p))])
+		written += n
+		co.update(func() int { return n })
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // CloseWrite tells the client that nothing more follows.
 func (co *conn) CloseWrite() error {
 	if cw, is := co.Conn.(interface{ CloseWrite() error }); is {
--- a/wagtailcroftd/gatekeeper/gatekeeper_test.go
+++ b/wagtailcroftd/gatekeeper/gatekeeper_test.go
@@ -352,6 +352,41 @@
 	})
 }
 
+// newViewRig serves a view of a size.
+func newViewRig(t testing.TB, size int) *rig {
+	t.Helper()
+	ri := &rig{cl: clock.NewFake(0)}
+	ri.ga = newGatekeeper(ri.cl)
+	ln := listen(t)
+	ri.address = ln.Addr().String()
+	view := []byte(strings.Repeat("a", size))
+	sv := ri.ga.Server(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write(view) }))
+	go func() { _ = sv.Serve(ri.ga.Guard(ln, front)) }()
+	t.Cleanup(func() { _ = sv.Close() })
+	return ri
+}
+
+func TestSlowReaders(t *testing.T) {
+	t.Run("a client that takes a large answer slowly gets all of it", func(t *testing.T) {
+		const size, part = 4 << 20, 128 << 10
+		ri := newViewRig(t, size)
+		ri.ga.AnswerTimeout = 300
+		nc := ri.dial(t, "")
+		_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		asserter.NoError(t, err)
+		taken, buffer := 0, make([]byte, part)
+		for err == nil {
+			var n int
+			n, err = nc.Read(buffer)
+			taken += n
+			time.Sleep(10 * time.Millisecond)
+		}
+		if taken < size {
+			t.Errorf("%d bytes are taken, less than %d: %v", taken, size, err)
+		}
+	})
+}
+
 func TestMessages(t *testing.T) {
 	t.Run("calls of another instance are answered", func(t *testing.T) {
 		client, err := rpc.Dial("tcp", newPeerRig(t).address)
