--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -100,10 +100,7 @@
 	}
 	now, received := ga.Clock.Now(), change()
 	ga.shedder.Enter(co.id, co.phase, now)
-	var removed []*conn
-	if received > 0 {
-		removed = ga.remove(ga.shedder.Progress(co.id, received, co.held(), now))
-	}
+	removed := ga.remove(ga.shedder.Progress(co.id, received, co.held(), now))
 	_, open := ga.conns[co.id]
 	ga.mu.Unlock()
 	reset(removed)
@@ -217,7 +214,7 @@
 		if err != nil {
 			bo.conn.phase = shedder.Serving
 		}
-		return n
+		return 0 // they counted when they were received
 	})
 	return n, err
 }
