Check that readiness answers while a crowd is connected

Cause: assertOutlasts asked for an accepted submission only. Change: the readiness check must answer too, beside the assertions as they were.

--- a/soak/crowder/crowder_test.go
+++ b/soak/crowder/crowder_test.go
@@ -203,6 +203,9 @@
 	defer cr.Close()
 	ri.assertHolds(t)
 	ri.assertServes(t)
+	if err := ri.in.AwaitReady(); err != nil {
+		t.Errorf("the readiness check is not answered: %v", err)
+	}
 	ri.assertHolds(t)
 }
 
