Take no evidence of pairs from throttling of ours, and bound by time how long harmless tasks keep their speed

Cause: best-effort tasks are throttled when a latency rises, so that load passed for the effect of the throttling; and the two decisions for which harmless tasks keep their speed are 0.75 s apart where polls take turns, so that all were stopped only after 4 s or more. Change: a history begins anew with each speed ordered on the worker, also if the command is not answered. A neighbour is harmless only below 2%, because arrivals that are throttled at once give no comparison. Harmless tasks keep their speed for less than 0.6 s after the first decision.

--- a/decisions/separator/fleet_test.go
+++ b/decisions/separator/fleet_test.go
@@ -6,8 +6,10 @@
 	"math/rand/v2"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
+	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -15,6 +17,8 @@
 	tick = 500 * clock.Millis(1)
 	// slots is the number of runs of a worker.
 	slots = 4
+	// loopTarget is the target of the services of a loop, and loopCenter their usual share of it.
+	loopTarget, loopCenter = 1000, 0.7
 )
 
 type (
@@ -57,6 +61,31 @@
 		// paced means that the pace of the run has been compared with what was expected.
 		paced bool
 	}
+
+	// loop is a fleet of services beside best-effort tasks that come, go and are throttled by the latencies.
+	loop struct {
+		rnd *rand.Rand
+		se  *separator.Separator
+		// correlation is that of the load from tick to tick, and effect the true effect of a task.
+		correlation, effect float64
+		// staying means that the tasks run all the time.
+		staying bool
+		hosts   []*loopHost
+	}
+
+	loopHost struct {
+		id      identifier.Worker
+		load    float64
+		history separator.History
+		// present means that a task runs at a speed, with an amount of work left.
+		present bool
+		speed   meter.Percent
+		left    float64
+		// orderedAt is when the speed was last changed, and changed means that it was, or the task, since the last
+		// poll.
+		orderedAt clock.Millis
+		changed   bool
+	}
 )
 
 // generate returns a fleet with random disturbances between images.
@@ -191,3 +220,55 @@
 	}
 	return right, wrong, missed
 }
+
+func newLoop(seed uint64, workers int, correlation, effect float64, staying bool) *loop {
+	lo := &loop{rnd: rand.New(rand.NewPCG(seed, 7)), se: separator.New(), correlation: correlation, effect: effect, staying: staying}
+	for i := range workers {
+		lo.hosts = append(lo.hosts, &loopHost{id: workerName(i)})
+	}
+	return lo
+}
+
+// play returns how many looks at the pair gave each verdict.
+func (lo *loop) play(duration clock.Millis) map[separator.Verdict]float64 {
+	verdicts := map[separator.Verdict]float64{}
+	for now := tick; now <= duration; now += tick {
+		for _, ho := range lo.hosts {
+			lo.step(ho, now)
+		}
+		if now < duration/6 || now%clock.Second != 0 {
+			continue
+		}
+		for _, pa := range lo.se.Pairs() {
+			verdicts[pa.Verdict]++
+		}
+	}
+	return verdicts
+}
+
+// step lets a worker work for a tick, polls it and throttles its task.
+func (lo *loop) step(ho *loopHost, now clock.Millis) {
+	if !ho.present && (lo.staying || lo.rnd.Float64() < 0.1) {
+		ho.present, ho.speed, ho.left, ho.changed = true, throttler.FullSpeed, 2000+8000*lo.rnd.Float64(), true
+	}
+	amount := 0.0
+	if ho.present {
+		amount = float64(ho.speed) / float64(throttler.FullSpeed)
+	}
+	ho.load = lo.correlation*ho.load + math.Sqrt(1-lo.correlation*lo.correlation)*lo.rnd.NormFloat64()
+	slowdown := math.Log(loopCenter) + 0.3*ho.load + lo.effect*amount
+	if !ho.changed {
+		lo.se.Observe(&ho.history, separator.Sample{Now: now, Worker: ho.id, Image: "service", Slowdown: slowdown, Beside: separator.Amounts{"task": amount}, OrderedAt: ho.orderedAt})
+	}
+	ho.changed = false
+	if !ho.present {
+		return
+	}
+	next := throttler.Next(ho.speed, []throttler.Service{{TailLatency: clock.Millis(loopTarget * math.Exp(slowdown)), Target: loopTarget}})
+	if next != ho.speed {
+		ho.speed, ho.orderedAt, ho.changed = next, now, true
+	}
+	if ho.left -= amount * float64(tick); ho.left <= 0 && !lo.staying {
+		ho.present, ho.changed = false, true
+	}
+}
--- a/decisions/separator/model.go
+++ b/decisions/separator/model.go
@@ -11,9 +11,9 @@
 	// priorDeviation is the standard deviation of effects before there is evidence. It draws estimates
 	// from few contrasts towards 0.
 	priorDeviation = 0.5
-	// minNoise is the smallest standard deviation of a sample that is believed.
+	// minNoise is the smallest standard deviation of a sample that is used.
 	minNoise = 0.02
-	// dependence is how many samples of a run tell as much as one independent sample, because neighbours
+	// dependence is how many samples of a run weigh as much as one independent sample, because neighbours
 	// and load stay the same for a while.
 	dependence = 2.0
 	// maxWitnesses is how many workers are remembered of each pair.
@@ -189,7 +189,7 @@
 	}
 }
 
-// pair returns what the fitted model tells of a neighbour.
+// pair returns the fitted effect of a neighbour.
 func (mo *model) pair(i int) Pair {
 	ne := &mo.neighbors[i]
 	pa := Pair{Disturbing: ne.image, Effect: mo.mean[i], Deviation: mo.deviation[i], Contrasts: mo.products[i][i], Workers: len(ne.witnesses)}
@@ -197,7 +197,7 @@
 	case pa.Workers < minWorkers:
 	case pa.Effect-certainty*pa.Deviation > minEffect:
 		pa.Verdict = Disturbs
-	case pa.Effect+harmlessness*pa.Deviation < minEffect:
+	case pa.Effect+harmlessness*pa.Deviation < harmlessEffect:
 		pa.Verdict = Harmless
 	}
 	return pa
--- a/decisions/separator/separator.go
+++ b/decisions/separator/separator.go
@@ -1,9 +1,9 @@
-// Package separator learns which images slow each other down on one worker, and makes the planner keep
+// Package separator measures which images slow each other down on one worker, and makes the planner keep
 // their tasks apart where there is room.
 //
 // A run is compared only with itself, with and without each neighbour. What makes all its samples slow, such
-// as a slow worker, much work or far data, cancels out, so that only neighbours that come, go or are
-// throttled are evidence against an image.
+// as a slow worker, much work or far data, cancels out, so that only neighbours that come or go are
+// evidence against an image. Those that are throttled are not, because the throttling depends on the latencies.
 package separator
 
 import (
@@ -36,10 +36,13 @@
 	// maxStep bounds the change of a run's logarithmic slowdown that counts, so that a worker that turns slow
 	// does not outweigh all other evidence.
 	maxStep = 1.0
-	// minEffect is the logarithmic slowdown below which a neighbour is harmless: 5%.
+	// minEffect is the logarithmic slowdown above which a neighbour disturbs: 5%.
 	minEffect = 0.05
+	// harmlessEffect is the logarithmic slowdown below which a neighbour is harmless. It is lower than minEffect,
+	// because comparisons are lost where a latency is throttled at once, and those that are left look too good.
+	harmlessEffect = 0.02
 	// certainty is how many standard deviations an effect must lie above minEffect to count, and
-	// harmlessness how many below.
+	// harmlessness how many below harmlessEffect.
 	certainty, harmlessness = 3.0, 2.0
 	// minAmount is the amount of a neighbour below which a history forgets it.
 	minAmount = 0.01
@@ -65,6 +68,9 @@
 		// latency. Only differences within a run count, so that any unit will do.
 		Slowdown float64
 		Beside   Amounts
+		// OrderedAt is when the scheduler last changed the speed of a run on the worker. It does so because of
+		// the latencies, so that nothing is compared across such a change.
+		OrderedAt clock.Millis
 	}
 
 	// History is the recent past of one run. The zero value is a run without a past.
@@ -74,6 +80,8 @@
 		// slowdown and beside are the means of the samples.
 		slowdown float64
 		beside   Amounts
+		// orderedAt is that of the samples.
+		orderedAt clock.Millis
 	}
 
 	// Pair is what is known of two images.
@@ -109,6 +117,9 @@
 	}
 	mo := se.model(sa.Image, sa.Now)
 	mo.forget(sa.Now)
+	if hi.orderedAt != sa.OrderedAt {
+		*hi = History{orderedAt: sa.OrderedAt}
+	}
 	if hi.count > 0 {
 		weight := hi.count / (hi.count + 1)
 		step := min(max(sa.Slowdown-hi.slowdown, -maxStep), maxStep)
--- a/decisions/throttler/blame.go
+++ b/decisions/throttler/blame.go
@@ -1,6 +1,9 @@
 package throttler
 
-import "github.com/wagtailcroft/wagtailcroft/shared/meter"
+import (
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
+)
 
 // What is known of the part that a best-effort task has in the tail latencies.
 const (
@@ -11,9 +14,10 @@
 	// Harmless means that it certainly does not.
 	Harmless
 
-	// maxSpared is the number of decisions in a row for which harmless tasks are spared. If the causes alone
-	// do not bring the tail latency down by then, the evidence was wrong or is not the whole story.
-	maxSpared = 2
+	// MaxKept is the time for which harmless tasks keep their speed. If the causes alone do not bring the
+	// tail latency down by then, the evidence was wrong or is not the whole story. It is a time, because decisions
+	// are further apart where polls have to wait.
+	MaxKept = 600 * clock.Millis(1)
 )
 
 type (
@@ -27,22 +31,22 @@
 	}
 )
 
-// Plan returns the new speed of each best-effort task on a worker, and whether harmless ones were spared.
-// spared is for how many decisions in a row they have been. While a known cause is still running, only it
-// and the tasks of which nothing is known are throttled.
-func Plan(tasks []Task, services []Service, spared int) ([]meter.Percent, bool) {
+// Plan returns the new speed of each best-effort task on a worker, and whether harmless ones kept theirs.
+// keeping is for how long they have done so. While a known cause is still running, only it and the tasks of
+// which nothing is known are throttled.
+func Plan(tasks []Task, services []Service, keeping clock.Millis) ([]meter.Percent, bool) {
 	causeRuns := false
 	for _, ta := range tasks {
 		causeRuns = causeRuns || ta.Blame == Cause && ta.Speed > 0
 	}
-	sparing := false
+	kept := false
 	speeds := make([]meter.Percent, 0, len(tasks))
 	for _, ta := range tasks {
 		next := Next(ta.Speed, services)
-		if next < ta.Speed && ta.Blame == Harmless && causeRuns && spared < maxSpared {
-			next, sparing = ta.Speed, true
+		if next < ta.Speed && ta.Blame == Harmless && causeRuns && keeping < MaxKept {
+			next, kept = ta.Speed, true
 		}
 		speeds = append(speeds, next)
 	}
-	return speeds, sparing
+	return speeds, kept
 }
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -71,14 +71,14 @@
 // the runs of a worker affect each other.
 func (te *term) observeInterference(wo *worker, workerClock, now clock.Millis) {
 	var total separator.Amounts
-	changedAt := clock.Millis(0)
+	changedAt := wo.orderedAt
 	for key, pl := range wo.runs {
 		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" {
 			if total == nil {
 				total = separator.Amounts{}
 			}
 			total[identifier.Image(step.Image)] += pl.amount()
-			changedAt = max(changedAt, pl.startedAt, pl.speedAt)
+			changedAt = max(changedAt, pl.startedAt)
 		}
 	}
 	if total == nil {
@@ -115,7 +115,7 @@
 	en := te.jobs[key.Job]
 	_, ta := en.job.Task(key)
 	if wa.at > 0 && changedAt <= wa.at {
-		sa := separator.Sample{Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: wa.beside}
+		sa := separator.Sample{Now: now, Worker: wo.id, Image: identifier.Image(step.Image), Beside: wa.beside, OrderedAt: wo.orderedAt}
 		progress, took := float64(ta.Progress-wa.progress), float64(workerClock-wa.workerClock)
 		switch {
 		case step.TailLatencyTarget > 0:
--- a/wagtailcroftd/controller/throttle.go
+++ b/wagtailcroftd/controller/throttle.go
@@ -46,7 +46,7 @@
 		return
 	}
 	wo.throttledAt = now
-	for i, next := range te.nextSpeeds(wo, bestEffort, services) {
+	for i, next := range te.nextSpeeds(wo, bestEffort, services, now) {
 		pl := wo.runs[bestEffort[i]]
 		if next == pl.speed || pl.throttling {
 			continue
@@ -56,7 +56,7 @@
 }
 
 // nextSpeeds returns the new speeds of the best-effort tasks of a worker.
-func (te *term) nextSpeeds(wo *worker, bestEffort []workload.TaskKey, services []service) []meter.Percent {
+func (te *term) nextSpeeds(wo *worker, bestEffort []workload.TaskKey, services []service, now clock.Millis) []meter.Percent {
 	tasks := make([]throttler.Task, 0, len(bestEffort))
 	for _, key := range bestEffort {
 		tasks = append(tasks, throttler.Task{Speed: wo.runs[key].speed, Blame: te.blameOf(te.stepOf(key).Image, services)})
@@ -65,13 +65,19 @@
 	for _, se := range services {
 		harmed = append(harmed, se.Service)
 	}
-	speeds, sparing := throttler.Plan(tasks, harmed, wo.spared)
+	keeping := clock.Millis(0)
+	if wo.keptSince > 0 {
+		keeping = now - wo.keptSince
+	}
+	speeds, kept := throttler.Plan(tasks, harmed, keeping)
 	switch {
-	case sparing:
-		wo.spared++
+	case kept:
+		if wo.keptSince == 0 {
+			wo.keptSince = now
+		}
 		te.Metrics.Count("interference", "spared")
 	case !slices.ContainsFunc(harmed, throttler.Harmed):
-		wo.spared = 0
+		wo.keptSince = 0
 	}
 	return speeds
 }
@@ -93,6 +99,7 @@
 	co := fleet.ThrottleCommand{Task: key.String(), Run: pl.run, Percent: next, Fence: te.fence}
 	to := wo.target(te.keepBy())
 	pl.throttling = true
+	wo.orderedAt = te.Clock.Now()
 	command := func() {
 		ctx, cancel := te.Clock.WithTimeout(te.ctx, commandTimeout)
 		st, err := te.Workers.Throttle(ctx, to, co)
@@ -100,13 +107,14 @@
 		te.mu.Lock()
 		defer te.mu.Unlock()
 		pl.throttling = false
+		wo.orderedAt = te.Clock.Now() // it took effect at some time since it was ordered, perhaps without an answer
 		te.log.Info().Str("task", co.Task).Str("worker", string(wo.id)).Int32("from", int32(pl.speed)).Int32("to", int32(next)).
 			AnErr("refusal", err).Msg("throttleSent")
 		if te.staleAnswer(wo, to, st, err, te.Clock.Now()) {
 			return
 		}
 		if err == nil {
-			pl.speed, pl.speedAt = next, te.Clock.Now()
+			pl.speed = next
 		} else if eris.Is(err, fleet.ErrNoAnswer) {
 			te.Workers.CloseIdleConnections(to)
 		}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -95,8 +95,11 @@
 		// last evaluated.
 		mixedLoad   bool
 		throttledAt clock.Millis
-		// spared is how many times in a row harmless best-effort tasks were spared.
-		spared int
+		// orderedAt is when a change of a speed was last ordered or confirmed.
+		orderedAt clock.Millis
+		// keptSince is when harmless best-effort tasks first kept their speed since a service came close to
+		// its target; 0 means not yet.
+		keptSince clock.Millis
 		// inMaintenance means that the worker is being drained for maintenance of its machine.
 		inMaintenance bool
 		// suspectUntil is the end of the time for which other workers are preferred, after a run
@@ -147,9 +150,8 @@
 		// means that a command to change it is in progress.
 		speed      meter.Percent
 		throttling bool
-		// speedAt is when the speed last changed, and watch what polls told of the run.
-		speedAt clock.Millis
-		watch   watch
+		// watch is what polls showed of the run.
+		watch watch
 		// tailLatency is the tail latency that the run last reported.
 		tailLatency clock.Millis
 		// origin is set if the run is inherited and its worker has reported its progress.
