Bound the search for a run to move, and move only what starts again at once

Cause: a search without result was repeated in each round, under the lock of the term, and looked for a worker for every disturbed run; a run that was moved could wait, because headroom binds starts and was not checked; workers and runs came in the order of maps, so that equal moves differed; speeds were added as floats in that order, so that the same neighbours could end a measurement.

--- a/decisions/separator/plan_test.go
+++ b/decisions/separator/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
@@ -17,6 +18,8 @@
 	pool  identifier.Pool  = "pool"
 	// minGain is the share of the callers' time that is to be gained where a third of the pairs disturb.
 	minGain = 0.1
+	// maxSearchMillis is what a search for a move may take, also under the race detector.
+	maxSearchMillis = 250
 )
 
 // planned is a fleet whose runs are placed by the planner.
@@ -211,6 +214,35 @@
 		_, found := sn.BestMove(hosts)
 		asserter.Equal(t, found, false)
 	})
+	t.Run("the search of a fleet of 3,000 workers takes little time, with and without room", func(t *testing.T) {
+		for _, free := range []workload.Resources{{}, room} {
+			hosts := make([]separator.Host, 3000)
+			for i := range hosts {
+				hosts[i] = separator.Host{ID: workerName(i), Pool: pool, Usable: true, Free: free}
+				for k, image := range []string{"a", "b", "a", "b"} {
+					ru := task(image, 60_000, 100)
+					ru.Key.Index, ru.Key.Step = i, k
+					hosts[i].Runs = append(hosts[i].Runs, ru)
+				}
+			}
+			began := time.Now()
+			_, found := sn.BestMove(hosts)
+			asserter.Equal(t, found, false)
+			expectAtMost(t, "milliseconds of a search", float64(time.Since(began).Milliseconds()), maxSearchMillis)
+		}
+	})
+	t.Run("where the planner chooses another worker, the move pays only if it does there", func(t *testing.T) {
+		hosts := fleet(room, task("a", 60_000, 100), task("b", 60_000, 100))
+		hosts = append(hosts, separator.Host{ID: "third", Pool: pool, Usable: true, Runs: []separator.Run{task("b", 60_000, 100)}})
+		mo, _ := sn.BestMove(hosts)
+		_, pays := sn.Elsewhere(mo, hosts, "third")
+		asserter.Equal(t, pays, mo.Task.Job != "a")
+		_, pays = sn.Elsewhere(mo, hosts, "here")
+		asserter.Equal(t, pays, false)
+		mo, pays = sn.Elsewhere(mo, hosts, "there")
+		asserter.Equal(t, pays, true)
+		asserter.Equal(t, mo.To, "there")
+	})
 }
 
 // alternateImages makes a separator learn that b disturbs a, and nothing else.
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
@@ -20,7 +22,7 @@
 	pairsLogInterval = 10 * clock.Second
 	// maxSamples is how many samples are taken in each pairsInterval; one costs about 7 microseconds.
 	maxSamples = 1000
-	// partInterval is the time between two moves of running tasks, in which the effect of one shows.
+	// partInterval is the time between two searches for a running task to move, in which the effect of a move shows.
 	partInterval = 2 * clock.Second
 	// minProgress is the progress over which a pace is measured. Workers report whole percents.
 	minProgress meter.Percent = 4
@@ -45,8 +47,8 @@
 		loggedAt clock.Millis
 		// recent counts the samples since refreshedAt, at most maxSamples.
 		recent int
-		// partedAt is when a run was last moved.
-		partedAt clock.Millis
+		// searchedAt is when a run to move was last looked for.
+		searchedAt clock.Millis
 	}
 
 	// watch is what polls told of a run since its neighbours last changed.
@@ -70,14 +72,14 @@
 // observeInterference learns from an answer to a poll, which was given at a time of the worker's clock, how
 // the runs of a worker affect each other.
 func (te *term) observeInterference(wo *worker, workerClock, now clock.Millis) {
-	var total separator.Amounts
+	var total map[identifier.Image]meter.Percent
 	changedAt := wo.orderedAt
 	for key, pl := range wo.runs {
 		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" {
 			if total == nil {
-				total = separator.Amounts{}
+				total = map[identifier.Image]meter.Percent{}
 			}
-			total[identifier.Image(step.Image)] += pl.amount()
+			total[identifier.Image(step.Image)] += pl.speed
 			changedAt = max(changedAt, pl.startedAt)
 		}
 	}
@@ -86,23 +88,26 @@
 	}
 	for key, pl := range wo.runs {
 		if step := te.stepOf(key); step != nil && pl.startedAt > 0 && step.Image != "" && !step.Gang {
-			te.watchRun(wo, key, pl, step, besides(total, identifier.Image(step.Image), pl.amount()), changedAt, workerClock, now)
+			te.watchRun(wo, key, pl, step, besides(total, identifier.Image(step.Image), pl.speed), changedAt, workerClock, now)
 		}
 	}
 }
 
 // amount returns how much of the run works: 1 if it is not throttled.
-func (pl *placement) amount() float64 { return float64(pl.speed) / float64(throttler.FullSpeed) }
+func (pl *placement) amount() float64 { return amountOf(pl.speed) }
 
-// besides returns what runs beside a task of an image.
-func besides(total separator.Amounts, image identifier.Image, own float64) separator.Amounts {
+func amountOf(speed meter.Percent) float64 { return float64(speed) / float64(throttler.FullSpeed) }
+
+// besides returns what runs beside a task of an image. Speeds are added as whole percents, so that the same
+// neighbours always give the same amounts.
+func besides(total map[identifier.Image]meter.Percent, image identifier.Image, own meter.Percent) separator.Amounts {
 	beside := make(separator.Amounts, len(total))
-	for other, amount := range total {
+	for other, speed := range total {
 		if other == image {
-			amount -= own
+			speed -= own
 		}
-		if amount > 0 {
-			beside[other] = amount
+		if speed > 0 {
+			beside[other] = amountOf(speed)
 		}
 	}
 	return beside
@@ -212,23 +217,58 @@
 }
 
 // partPair stops at most one run so that it starts on another worker, where that gains more than it loses.
-// Nothing is moved while a task waits, which would take the room.
+// Nothing is moved while a task waits, which would take the room, or that would then wait itself.
 func (te *term) partPair(in planner.Input, pl planner.Plan, now clock.Millis) {
 	sn := te.interference.separation
-	if sn == nil || len(pl.Starts)+len(pl.Stops) > 0 || now-te.interference.partedAt < partInterval || anyWaiting(in) {
+	if sn == nil || len(pl.Starts)+len(pl.Stops) > 0 || now-te.interference.searchedAt < partInterval || anyWaiting(in) {
+		return
+	}
+	te.interference.searchedAt = now
+	hosts := te.hosts(in, now)
+	mo, found := sn.BestMove(hosts)
+	if !found {
 		return
 	}
-	mo, found := sn.BestMove(te.hosts(in, now))
+	mo, found = sn.Elsewhere(mo, hosts, te.restartOf(in, mo.Task))
 	if !found {
 		return
 	}
-	te.interference.partedAt = now
 	te.Metrics.Count("interference", "parted")
 	te.log.Info().Str("task", mo.Task.String()).Str("worker", string(mo.From)).Str("to", string(mo.To)).
 		Int64("gainMillis", int64(mo.Gain)).Int64("lossMillis", int64(mo.Loss)).Msg("runParted")
 	te.stopTask(mo.Task)
 }
 
+// restartOf returns the worker on which a run would start again if it were stopped now; empty if it would wait,
+// for example because too little would be left for expected urgent work.
+func (te *term) restartOf(in planner.Input, key workload.TaskKey) identifier.Worker {
+	at := slices.IndexFunc(in.Jobs, func(jo *workload.Job) bool { return jo.ID == key.Job })
+	if at < 0 {
+		return ""
+	}
+	jo := *in.Jobs[at]
+	st, _ := jo.Task(key)
+	if st == nil {
+		return ""
+	}
+	stopped := *st
+	stopped.Tasks = slices.Clone(st.Tasks)
+	ta := &stopped.Tasks[key.Index]
+	*ta = workload.Task{Phase: workload.Waiting, Run: ta.Run}
+	jo.Stages = slices.Clone(jo.Stages)
+	jo.Stages[slices.Index(jo.Stages, st)] = &stopped
+	in.Jobs = slices.Clone(in.Jobs)
+	in.Jobs[at] = &jo
+	for _, start := range te.planner.Plan(in).Starts {
+		for _, pl := range start.Placements {
+			if start.Stage == &stopped && pl.Index == key.Index {
+				return pl.Worker
+			}
+		}
+	}
+	return ""
+}
+
 func anyWaiting(in planner.Input) bool {
 	for _, jo := range in.Jobs {
 		for _, st := range jo.Stages {
@@ -240,10 +280,10 @@
 	return false
 }
 
-// hosts returns the workers with their runs, for BestMove.
+// hosts returns the workers with their runs, for BestMove, in an order that does not change.
 func (te *term) hosts(in planner.Input, now clock.Millis) []separator.Host {
 	hosts := make([]separator.Host, 0, len(in.Workers))
-	for _, pw := range in.Workers {
+	for _, pw := range slices.SortedFunc(slices.Values(in.Workers), func(a, b planner.Worker) int { return cmp.Compare(a.ID, b.ID) }) {
 		ho := separator.Host{ID: pw.ID, Pool: pw.Pool, Labels: pw.Labels, Rack: pw.Rack, Usable: pw.Usable && !pw.Suspect, Free: pw.Capacity}
 		for key, pl := range te.workers[pw.ID].runs {
 			step := te.stepOf(key)
@@ -253,11 +293,16 @@
 			ho.Free = ho.Free.Sub(step.Reserved())
 			ho.Runs = append(ho.Runs, te.movableRun(key, pl, step, now))
 		}
+		slices.SortFunc(ho.Runs, func(a, b separator.Run) int { return compareKeys(a.Key, b.Key) })
 		hosts = append(hosts, ho)
 	}
 	return hosts
 }
 
+func compareKeys(a, b workload.TaskKey) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
 // movableRun describes a run for BestMove. Only first runs are moved, so that no task is moved twice.
 func (te *term) movableRun(key workload.TaskKey, pl *placement, step *workload.Step, now clock.Millis) separator.Run {
 	en := te.jobs[key.Job]
--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
@@ -32,6 +33,7 @@
 	runTerm(t, workers, func(te *term) {
 		po := (&policy.Policy{Queues: []policy.Queue{{Name: "queue", Priority: 1, MaxAttempts: 3}}}).Index()
 		te.Policies = onePolicy{po: po}
+		te.planner = planner.New(planner.Completion)
 		for _, wo := range te.workers {
 			wo.contacted = true
 		}
@@ -67,6 +69,18 @@
 	return pl
 }
 
+// placeOn adds jobs that each run one task on a worker, none of which any other disturbs.
+func (te *term) placeOn(worker identifier.Worker, images ...string) {
+	for _, image := range images {
+		pl := te.place(image, workload.Running)
+		jo := te.jobs[identifier.Job(image)].job
+		key := jo.Key(jo.Stages[0], 0)
+		jo.Stages[0].Tasks[0].Worker = worker
+		delete(te.workers["w-0"].runs, key)
+		te.workers[worker].runs[key] = pl
+	}
+}
+
 // stopping counts the tasks that are being stopped.
 func (te *term) stopping() int {
 	count := 0
@@ -80,10 +94,18 @@
 
 // expectParted checks how many runs are stopped to part the pair.
 func expectParted(t *testing.T, te *term, po *policy.Policy, want int) {
+	t.Helper()
+	expectPartedBeside(t, te, po, planner.Demand{}, want)
+}
+
+// expectPartedBeside is like expectParted where urgent work is expected.
+func expectPartedBeside(t *testing.T, te *term, po *policy.Policy, urgent planner.Demand, want int) {
 	t.Helper()
 	now := te.Clock.Now() + 60*clock.Second
 	te.refreshPairs(now)
-	te.partPair(te.plannerInput(po, now), planner.Plan{}, now)
+	in := te.plannerInput(po, now)
+	in.Demand = map[identifier.Pool]planner.Demand{"": urgent}
+	te.partPair(in, planner.Plan{}, now)
 	asserter.Equal(t, te.stopping(), want)
 }
 
@@ -101,6 +123,39 @@
 			expectParted(t, te, po, 0)
 		})
 	})
+	t.Run("nothing is moved that would not start again, because room is kept for urgent work", func(t *testing.T) {
+		for _, tc := range []struct {
+			urgent planner.Demand
+			want   int
+		}{{planner.Demand{}, 1}, {planner.Demand{Mean: 200, Deviation: 10}, 0}} {
+			runPaired(t, 4, func(te *term, po *policy.Policy) {
+				te.placeOn("w-1", "one", "two")
+				te.placeOn("w-2", "three", "four")
+				te.placeOn("w-3", "five")
+				expectPartedBeside(t, te, po, tc.urgent, tc.want)
+			})
+		}
+	})
+	t.Run("the next search waits, whether or not a move was found", func(t *testing.T) {
+		runPaired(t, 2, func(te *term, po *policy.Policy) {
+			te.workers["w-1"].report.Draining = true
+			expectParted(t, te, po, 0)
+			te.workers["w-1"].report.Draining = false
+			expectParted(t, te, po, 0)
+			te.interference.searchedAt -= partInterval
+			expectParted(t, te, po, 1)
+		})
+	})
+	t.Run("workers and runs are searched in the same order each time", func(t *testing.T) {
+		runPaired(t, 30, func(te *term, po *policy.Policy) {
+			te.placeOn("w-7", "a", "b")
+			now := te.Clock.Now()
+			first := te.hosts(te.plannerInput(po, now), now)
+			for range 10 {
+				asserter.Equal(t, fmt.Sprint(te.hosts(te.plannerInput(po, now), now)), fmt.Sprint(first))
+			}
+		})
+	})
 	t.Run("nothing is moved while a task waits", func(t *testing.T) {
 		runPaired(t, 2, func(te *term, po *policy.Policy) {
 			te.place("other", workload.Waiting)
@@ -171,6 +226,23 @@
 			asserter.Equal(t, after(te, now+2*poll, 5), 2)
 		})
 	})
+	t.Run("the same neighbours at parts of their speeds do not end a measurement", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			for i, speed := range []meter.Percent{10, 20, 70} {
+				pl := te.place(fmt.Sprint("filler", i), workload.Running)
+				pl.speed = speed
+				te.jobs[identifier.Job(fmt.Sprint("filler", i))].job.Steps[0].Image = "filler"
+			}
+			now := te.Clock.Now() + poll
+			after(te, now, 0)
+			for range 50 {
+				asserter.Equal(t, after(te, now+poll, 0), 0)
+				for _, pl := range te.workers["w-0"].runs {
+					asserter.Equal(t, pl.watch.at, now)
+				}
+			}
+		})
+	})
 	t.Run("the samples of a second are bounded", func(t *testing.T) {
 		runPaired(t, 1, func(te *term, _ *policy.Policy) {
 			now := te.Clock.Now() + poll
