Find gang members beside an image that disturbs them

Cause: members of gangs are not watched, so that their time is never corrected for neighbours, yet their progress measures the speeds of workers.

--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -174,6 +174,20 @@
 	return clock.Millis(float64(elapsed) / factor)
 }
 
+// disturbedMember reports whether a run is a member of a gang beside an image that certainly disturbs it. Members are
+// not watched, so that undisturbed cannot correct how long they take.
+func (te *term) disturbedMember(wo *worker, key workload.TaskKey, step *workload.Step) bool {
+	if !step.Gang || step.Image == "" || te.interference.separation == nil {
+		return false
+	}
+	for other := range wo.runs {
+		if beside := te.stepOf(other); other != key && beside != nil && te.interference.separation.Disturbs(identifier.Image(beside.Image), identifier.Image(step.Image)) {
+			return true
+		}
+	}
+	return false
+}
+
 // refreshPairs updates what the planner and the throttling know of the pairs, and logs the pairs that are
 // found.
 func (te *term) refreshPairs(now clock.Millis) {
--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -282,3 +282,27 @@
 		})
 	})
 }
+
+func TestDisturbedMember(t *testing.T) {
+	runPaired(t, 1, func(te *term, _ *policy.Policy) {
+		wo, web, index := te.workers["w-0"], workload.TaskKey{Job: "web"}, workload.TaskKey{Job: "index"}
+		expectDisturbed := func(name string, key workload.TaskKey, want bool) {
+			t.Helper()
+			if got := te.disturbedMember(wo, key, te.stepOf(key)); got != want {
+				t.Errorf("%s: got %v, want %v", name, got, want)
+			}
+		}
+		for _, key := range []workload.TaskKey{web, index} {
+			te.jobs[key.Job].job.Steps[0].Gang = true
+		}
+		expectDisturbed("before the pairs were evaluated", web, false)
+		te.refreshPairs(te.Clock.Now() + 40*clock.Second)
+		expectDisturbed("a member beside an image that disturbs it", web, true)
+		expectDisturbed("a member that disturbs others", index, false)
+		te.jobs["web"].job.Steps[0].Gang = false
+		expectDisturbed("a task that is in no gang", web, false)
+		te.jobs["web"].job.Steps[0].Gang = true
+		delete(wo.runs, index)
+		expectDisturbed("a member alone", web, false)
+	})
+}
