--- a/wagtailcroft/cmd_config_check.go
+++ b/wagtailcroft/cmd_config_check.go
@@ -156,10 +156,13 @@
 		key, line := dr.Locate(fi.Place)
 		report.add(configFinding{Severity: string(fi.Severity), Line: line, Key: key, Text: fi.Text, Remedy: fi.Remedy})
 	}
+	if dr.Version <= 0 {
+		report.add(configFinding{Severity: string(examiner.Error), Key: "version", Line: dr.LineOf("version"), Text: "there is no version above 0", Remedy: "give a version above the one in force"})
+	}
 	if present == nil {
 		return report
 	}
-	if dr.Version <= present.Version {
+	if dr.Version > 0 && dr.Version <= present.Version {
 		report.add(configFinding{
 			Severity: string(examiner.Error), Key: "version", Line: dr.LineOf("version"), Remedy: "give a higher version",
 			Text: fmt.Sprintf("the version %d is not above %d, which is in force", dr.Version, present.Version),
