Bound what is kept of images and workers by the fleet

Cause: 2,048 judged workers are too few for a fleet of 3,000, so that none of the rest is judged for long; and names of images that are used once each displaced the 32 that are kept. Change: the bounds grow with the number of workers; an image is kept once a run of it has had a change of neighbours; of usual paces, those of images with one run are forgotten first. Comments in plain terms. Result: 3,000 of 3,000 workers are judged, and the evidence stays beside 200 names; the new tests fail without the change.

--- a/decisions/separator/fleet_test.go
+++ b/decisions/separator/fleet_test.go
@@ -150,7 +150,7 @@
 
 func (ru *run) progress() int { return min(int(100*ru.done/ru.work), 100) }
 
-// observe is what a poll tells, with progress in whole percent.
+// observe is what a poll shows, with progress in whole percent.
 func (ge *generated) observe(ho *host, ru *run) {
 	now, progress := ge.now+tick, ru.progress()
 	if progress-ru.seen < 5 {
--- a/decisions/separator/judge.go
+++ b/decisions/separator/judge.go
@@ -18,8 +18,11 @@
 	// Neighbors means that its runs are slow because of each other.
 	Neighbors
 
-	// maxJudged is how many workers are judged; the one that was observed longest ago is forgotten.
-	maxJudged = 2048
+	// minJudged is how many workers are judged at least; if there are too many, the one that was observed longest
+	// ago is forgotten.
+	minJudged = 2048
+	// singleRun is how much sooner an image with one run is forgotten than others.
+	singleRun = 10 * forgetTime
 	// levelWeight is the weight of the newest run in the usual pace of an image, and recentRuns how many
 	// runs of a worker count.
 	levelWeight = 0.05
@@ -48,7 +51,7 @@
 		Beside   Amounts
 	}
 
-	// Judgment tells why the runs of a worker are slow.
+	// Judgment is the cause for which the runs of a worker are slow.
 	Judgment struct {
 		Worker identifier.Worker
 		// Own is the logarithmic slowdown that its neighbours do not explain, with its standard deviation,
@@ -63,6 +66,8 @@
 	judge struct {
 		levels  map[identifier.Image]*level
 		workers map[identifier.Worker]*judged
+		// maxLevels and maxWorkers bound them.
+		maxLevels, maxWorkers int
 		// square is the mean square difference between runs of the same worker, and compared the number of
 		// runs that it is from.
 		square, compared float64
@@ -82,7 +87,7 @@
 )
 
 func newJudge() judge {
-	return judge{levels: map[identifier.Image]*level{}, workers: map[identifier.Worker]*judged{}}
+	return judge{levels: map[identifier.Image]*level{}, workers: map[identifier.Worker]*judged{}, maxLevels: minImages, maxWorkers: minJudged}
 }
 
 // ObservePace records the pace of a run for the judgment of its worker.
@@ -114,6 +119,14 @@
 	le.mean += max(1/le.count, levelWeight) * (own - le.mean)
 }
 
+// keptFor orders levels by when they were last used; those of images with one run come first.
+func (le *level) keptFor() clock.Millis {
+	if le.count <= 1 {
+		return le.usedAt - singleRun
+	}
+	return le.usedAt
+}
+
 // compare adds the squared difference of a run from others of its worker.
 func (ju *judge) compare(square float64) {
 	ju.compared = min(ju.compared+1, 1/spreadWeight)
@@ -156,8 +169,8 @@
 func (ju *judge) level(image identifier.Image, now clock.Millis) *level {
 	le := ju.levels[image]
 	if le == nil {
-		if len(ju.levels) >= maxImages {
-			delete(ju.levels, oldest(ju.levels, func(old *level) clock.Millis { return old.usedAt }))
+		for len(ju.levels) >= ju.maxLevels {
+			delete(ju.levels, oldest(ju.levels, (*level).keptFor))
 		}
 		le = &level{}
 		ju.levels[image] = le
@@ -169,7 +182,7 @@
 func (ju *judge) worker(id identifier.Worker, now clock.Millis) *judged {
 	wo := ju.workers[id]
 	if wo == nil {
-		if len(ju.workers) >= maxJudged {
+		for len(ju.workers) >= ju.maxWorkers {
 			delete(ju.workers, oldest(ju.workers, func(old *judged) clock.Millis { return old.usedAt }))
 		}
 		wo = &judged{}
--- a/decisions/separator/plan_test.go
+++ b/decisions/separator/plan_test.go
@@ -245,7 +245,7 @@
 	})
 }
 
-// alternateImages makes a separator learn that b disturbs a, and nothing else.
+// alternateImages gives a separator the evidence that b disturbs a, and nothing else.
 func alternateImages(se *separator.Separator) {
 	alternate(se, 6, separator.Amounts{"b": 1}, 0.5)
 }
--- a/decisions/separator/separator.go
+++ b/decisions/separator/separator.go
@@ -25,9 +25,11 @@
 	// Disturbs means that the neighbour certainly slows the image down.
 	Disturbs
 
-	// maxImages is how many disturbed images are kept, and maxNeighbors how many neighbours of each.
-	maxImages    = 32
-	maxNeighbors = 16
+	// minImages is how many disturbed images are kept at least, workersPerImage for how many workers there is one
+	// more, and maxNeighbors how many neighbours of each are kept.
+	minImages       = 32
+	workersPerImage = 16
+	maxNeighbors    = 16
 	// forgetTime is the time constant with which evidence loses its weight, because disturbances change.
 	forgetTime = 120 * clock.Second
 	// historyDepth is how many samples of a run its present ones are compared with, so that changes of its
@@ -100,30 +102,44 @@
 	// Separator collects the evidence. It is not safe for concurrent use.
 	Separator struct {
 		// models holds the model of each disturbed image, at most maxImages.
-		models map[identifier.Image]*model
-		judge  judge
+		models    map[identifier.Image]*model
+		maxImages int
+		judge     judge
 	}
 )
 
 // New returns a separator without evidence.
 func New() *Separator {
-	return &Separator{models: map[identifier.Image]*model{}, judge: newJudge()}
+	return &Separator{models: map[identifier.Image]*model{}, maxImages: minImages, judge: newJudge()}
 }
 
-// Observe compares a sample of a run with its history and adds it to the history.
+// Resize fits the bounds of what is kept to the number of workers.
+func (se *Separator) Resize(workers int) {
+	se.maxImages = max(minImages, workers/workersPerImage)
+	se.judge.maxLevels = se.maxImages
+	se.judge.maxWorkers = max(minJudged, 2*workers)
+}
+
+// Observe compares a sample of a run with its history and adds it to the history. An image is kept once a run of it
+// has had a change of neighbours, so that names that are used once do not displace others.
 func (se *Separator) Observe(hi *History, sa Sample) {
 	if sa.Image == "" {
 		return
 	}
-	mo := se.model(sa.Image, sa.Now)
-	mo.forget(sa.Now)
 	if hi.orderedAt != sa.OrderedAt {
 		*hi = History{orderedAt: sa.OrderedAt}
 	}
+	var changes Amounts
 	if hi.count > 0 {
-		weight := hi.count / (hi.count + 1)
-		step := min(max(sa.Slowdown-hi.slowdown, -maxStep), maxStep)
-		mo.add(sa.Worker, weight, step, hi.changes(sa.Beside), sa.Now)
+		changes = hi.changes(sa.Beside)
+	}
+	if mo := se.model(sa.Image, sa.Now, len(changes) > 0); mo != nil {
+		mo.forget(sa.Now)
+		if hi.count > 0 {
+			weight := hi.count / (hi.count + 1)
+			step := min(max(sa.Slowdown-hi.slowdown, -maxStep), maxStep)
+			mo.add(sa.Worker, weight, step, changes, sa.Now)
+		}
 	}
 	hi.add(sa)
 }
@@ -196,14 +212,14 @@
 	return max(pa.Effect-pa.Deviation, 0)
 }
 
-// model returns the model of a disturbed image. It replaces the one that was used longest ago if there are
-// too many.
-func (se *Separator) model(image identifier.Image, now clock.Millis) *model {
+// model returns the model of a disturbed image; nil if there is none and it is not to be admitted. It replaces the
+// one that was used longest ago if there are too many.
+func (se *Separator) model(image identifier.Image, now clock.Millis, admit bool) *model {
 	mo := se.models[image]
-	if mo != nil {
+	if mo != nil || !admit {
 		return mo
 	}
-	if len(se.models) >= maxImages {
+	for len(se.models) >= se.maxImages {
 		delete(se.models, oldest(se.models, func(old *model) clock.Millis { return old.usedAt }))
 	}
 	mo = &model{usedAt: now}
--- a/decisions/separator/separator_test.go
+++ b/decisions/separator/separator_test.go
@@ -173,6 +173,28 @@
 		}
 		asserter.Equal(t, se.Pairs()[0].Verdict, separator.Unknown)
 	})
+	t.Run("names that are used once do not displace the evidence of others", func(t *testing.T) {
+		se := separator.New()
+		alternate(se, 4, separator.Amounts{"b": 1}, 0.5)
+		for job := range 200 {
+			var hi separator.History
+			for second := range clock.Millis(3) {
+				se.Observe(&hi, separator.Sample{Now: 40*clock.Second + second, Worker: "w", Image: identifier.Image(fmt.Sprint("job", job)), Beside: separator.Amounts{"b": 1}})
+			}
+		}
+		asserter.Equal(t, se.Pairs()[0].Verdict, separator.Disturbs)
+	})
+	t.Run("more images are kept in a larger fleet", func(t *testing.T) {
+		se := separator.New()
+		se.Resize(3200)
+		for image := range 200 {
+			var hi separator.History
+			for at := range 2 {
+				se.Observe(&hi, separator.Sample{Now: clock.Millis(image*2 + at), Worker: "w", Image: identifier.Image(fmt.Sprint("i", image)), Beside: separator.Amounts{"b": float64(at)}})
+			}
+		}
+		asserter.Equal(t, len(se.Pairs()), 200)
+	})
 	t.Run("memory is bounded", func(t *testing.T) {
 		se := separator.New()
 		for image := range 200 {
@@ -223,6 +245,39 @@
 	})
 }
 
+func TestJudgedFleet(t *testing.T) {
+	pace := func(se *separator.Separator, at int, worker identifier.Worker, image string) {
+		se.ObservePace(separator.Pace{Now: clock.Millis(at), Worker: worker, Image: identifier.Image(image)})
+	}
+	t.Run("all workers of a large fleet are judged", func(t *testing.T) {
+		se := separator.New()
+		se.Resize(3000)
+		for run := range 8 {
+			for worker := range 3000 {
+				pace(se, run*3000+worker, workerName(worker), "a")
+			}
+		}
+		asserter.Equal(t, len(se.Judgments()), 3000)
+	})
+	t.Run("names that are used once do not displace the usual pace of an image", func(t *testing.T) {
+		se := separator.New()
+		for at := range 20 {
+			se.ObservePace(separator.Pace{Now: clock.Millis(at), Worker: workerName(at), Image: "a", Slowdown: 0.5})
+		}
+		for at := range 200 {
+			pace(se, 20+at, "other", fmt.Sprint("job", at))
+		}
+		for at := range 8 {
+			se.ObservePace(separator.Pace{Now: clock.Millis(220 + at), Worker: "slow", Image: "a", Slowdown: 1.5})
+		}
+		for _, ju := range se.Judgments() {
+			if ju.Worker == "slow" {
+				expectAtLeast(t, "own slowdown", ju.Own, 0.5)
+			}
+		}
+	})
+}
+
 // alternate lets an image run with and without neighbours by turns on several workers.
 func alternate(se *separator.Separator, workers int, beside separator.Amounts, effect float64) {
 	for worker := range workers {
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -20,7 +20,7 @@
 	pairsInterval = 1000 * clock.Millis(1)
 	// pairsLogInterval is the time between two log lines about the pairs.
 	pairsLogInterval = 10 * clock.Second
-	// maxSamples is how many samples are taken in each pairsInterval; one costs about 7 microseconds.
+	// maxSamples is how many samples are taken in each pairsInterval.
 	maxSamples = 1000
 	// partInterval is the time between two searches for a running task to move, in which the effect of a move shows.
 	partInterval = 2 * clock.Second
@@ -33,8 +33,7 @@
 )
 
 type (
-	// interference is what this leader knows of tasks that slow each other down. It is learned anew in each
-	// term.
+	// interference is what this leader has measured of tasks that slow each other down. Each term begins without.
 	interference struct {
 		separator *separator.Separator
 		// separation is what is known at refreshedAt; nil if it would change no plan.
@@ -51,7 +50,7 @@
 		searchedAt clock.Millis
 	}
 
-	// watch is what polls told of a run since its neighbours last changed.
+	// watch is what polls showed of a run since its neighbours last changed.
 	watch struct {
 		history separator.History
 		// at is when the poll was answered at which the measurement began, on this instance's clock, and
@@ -69,8 +68,8 @@
 	return interference{separator: separator.New(), disturbing: map[separator.ImagePair]bool{}}
 }
 
-// observeInterference learns from an answer to a poll, which was given at a time of the worker's clock, how
-// the runs of a worker affect each other.
+// observeInterference takes samples of the runs of a worker from an answer to a poll, which was given at a time of the
+// worker's clock.
 func (te *term) observeInterference(wo *worker, workerClock, now clock.Millis) {
 	var total map[identifier.Image]meter.Percent
 	changedAt := wo.orderedAt
@@ -196,6 +195,7 @@
 		return
 	}
 	in.refreshedAt, in.recent = now, 0
+	in.separator.Resize(len(te.workers))
 	in.separation = in.separator.Separation(te.op.NamedPairs, func(jo *workload.Job, step *workload.Step) clock.Millis {
 		return te.predictor.ExpectedRunTime(jo.Queue, step.Estimate)
 	})
