--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -1,9 +1,13 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"testing"
+	"time"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
@@ -15,13 +19,27 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// poll is the time between two polls of a worker.
-const poll = clock.Second
+const (
+	// poll is the time between two polls of a worker.
+	poll = clock.Second
+	// noAnswerTime is when a worker that does not answer is given up.
+	noAnswerTime = 20 * clock.Millis(1)
+)
+
+type (
+	// onePolicy is a configuration with one queue.
+	onePolicy struct {
+		noPolicies
+		po *policy.Policy
+	}
 
-// onePolicy is a configuration with one queue.
-type onePolicy struct {
-	noPolicies
-	po *policy.Policy
+	// unthrottled are workers that do not answer when they are to throttle.
+	unthrottled struct{ Workers }
+)
+
+func (unthrottled) Throttle(context.Context, fleet.Target, fleet.ThrottleCommand) (fleet.Status, error) {
+	time.Sleep(noAnswerTime.Duration())
+	return fleet.Status{}, fleet.ErrNoAnswer
 }
 
 func (op onePolicy) Current() *policy.Policy { return op.po }
@@ -226,6 +244,42 @@
 			asserter.Equal(t, after(te, now+2*poll, 5), 2)
 		})
 	})
+	t.Run("nothing before an ordered change of speed is compared with what comes after it", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			wo, now := te.workers["w-0"], te.Clock.Now()+poll
+			web := wo.runs[workload.TaskKey{Job: "web"}]
+			after(te, now, 5)
+			after(te, now+poll, 5)
+			before, _ := web.watch.history.Mean()
+			wo.orderedAt = now + poll + poll/2
+			after(te, now+2*poll, 20)
+			after(te, now+3*poll, 20)
+			mean, _ := web.watch.history.Mean()
+			expected := before - math.Log(4)
+			asserter.Equal(t, math.Abs(mean-expected) < 0.01, true)
+		})
+	})
+	t.Run("a change of speed counts as ordered from when it is sent, also if it is not answered", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			te.Workers = unthrottled{te.Workers}
+			wo, key := te.workers["w-0"], workload.TaskKey{Job: "index"}
+			// expectOrdered checks when the last change was ordered, after a wait.
+			expectOrdered := func(wait, want clock.Millis) {
+				t.Helper()
+				time.Sleep(wait.Duration())
+				te.mu.Lock()
+				defer te.mu.Unlock()
+				asserter.Equal(t, wo.orderedAt, want)
+				asserter.Equal(t, wo.runs[key].speed, throttler.FullSpeed)
+			}
+			now := te.Clock.Now()
+			te.mu.Lock()
+			te.submitThrottle(wo, key, wo.runs[key], 50)
+			te.mu.Unlock()
+			expectOrdered(noAnswerTime/2, now)
+			expectOrdered(noAnswerTime, now+noAnswerTime)
+		})
+	})
 	t.Run("the same neighbours at parts of their speeds do not end a measurement", func(t *testing.T) {
 		runPaired(t, 1, func(te *term, _ *policy.Policy) {
 			for i, speed := range []meter.Percent{10, 20, 70} {
