--- a/wagtailcroftd/controller/interference_test.go
+++ b/wagtailcroftd/controller/interference_test.go
@@ -1,8 +1,13 @@
 package controller
 
 import (
+	"context"
+	"fmt"
+	"math"
 	"testing"
+	"time"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
@@ -14,13 +19,27 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// poll is the time between two polls of a worker.
-const poll = clock.Second
+const (
+	// poll is the time between two polls of a worker.
+	poll = clock.Second
+	// noAnswerTime is when a worker that does not answer is given up.
+	noAnswerTime = 20 * clock.Millis(1)
+)
+
+type (
+	// onePolicy is a configuration with one queue.
+	onePolicy struct {
+		noPolicies
+		po *policy.Policy
+	}
 
-// onePolicy is a configuration with one queue.
-type onePolicy struct {
-	noPolicies
-	po *policy.Policy
+	// unthrottled are workers that do not answer when they are to throttle.
+	unthrottled struct{ Workers }
+)
+
+func (unthrottled) Throttle(context.Context, fleet.Target, fleet.ThrottleCommand) (fleet.Status, error) {
+	time.Sleep(noAnswerTime.Duration())
+	return fleet.Status{}, fleet.ErrNoAnswer
 }
 
 func (op onePolicy) Current() *policy.Policy { return op.po }
@@ -32,6 +51,7 @@
 	runTerm(t, workers, func(te *term) {
 		po := (&policy.Policy{Queues: []policy.Queue{{Name: "queue", Priority: 1, MaxAttempts: 3}}}).Index()
 		te.Policies = onePolicy{po: po}
+		te.planner = planner.New(planner.Completion)
 		for _, wo := range te.workers {
 			wo.contacted = true
 		}
@@ -67,6 +87,18 @@
 	return pl
 }
 
+// placeOn adds jobs that each run one task on a worker, none of which any other disturbs.
+func (te *term) placeOn(worker identifier.Worker, images ...string) {
+	for _, image := range images {
+		pl := te.place(image, workload.Running)
+		jo := te.jobs[identifier.Job(image)].job
+		key := jo.Key(jo.Stages[0], 0)
+		jo.Stages[0].Tasks[0].Worker = worker
+		delete(te.workers["w-0"].runs, key)
+		te.workers[worker].runs[key] = pl
+	}
+}
+
 // stopping counts the tasks that are being stopped.
 func (te *term) stopping() int {
 	count := 0
@@ -80,10 +112,18 @@
 
 // expectParted checks how many runs are stopped to part the pair.
 func expectParted(t *testing.T, te *term, po *policy.Policy, want int) {
+	t.Helper()
+	expectPartedBeside(t, te, po, planner.Demand{}, want)
+}
+
+// expectPartedBeside is like expectParted where urgent work is expected.
+func expectPartedBeside(t *testing.T, te *term, po *policy.Policy, urgent planner.Demand, want int) {
 	t.Helper()
 	now := te.Clock.Now() + 60*clock.Second
 	te.refreshPairs(now)
-	te.partPair(te.plannerInput(po, now), planner.Plan{}, now)
+	in := te.plannerInput(po, now)
+	in.Demand = map[identifier.Pool]planner.Demand{"": urgent}
+	te.partPair(in, planner.Plan{}, now)
 	asserter.Equal(t, te.stopping(), want)
 }
 
@@ -101,6 +141,39 @@
 			expectParted(t, te, po, 0)
 		})
 	})
+	t.Run("nothing is moved that would not start again, because room is kept for urgent work", func(t *testing.T) {
+		for _, tc := range []struct {
+			urgent planner.Demand
+			want   int
+		}{{planner.Demand{}, 1}, {planner.Demand{Mean: 200, Deviation: 10}, 0}} {
+			runPaired(t, 4, func(te *term, po *policy.Policy) {
+				te.placeOn("w-1", "one", "two")
+				te.placeOn("w-2", "three", "four")
+				te.placeOn("w-3", "five")
+				expectPartedBeside(t, te, po, tc.urgent, tc.want)
+			})
+		}
+	})
+	t.Run("the next search waits, whether or not a move was found", func(t *testing.T) {
+		runPaired(t, 2, func(te *term, po *policy.Policy) {
+			te.workers["w-1"].report.Draining = true
+			expectParted(t, te, po, 0)
+			te.workers["w-1"].report.Draining = false
+			expectParted(t, te, po, 0)
+			te.interference.searchedAt -= partInterval
+			expectParted(t, te, po, 1)
+		})
+	})
+	t.Run("workers and runs are searched in the same order each time", func(t *testing.T) {
+		runPaired(t, 30, func(te *term, po *policy.Policy) {
+			te.placeOn("w-7", "a", "b")
+			now := te.Clock.Now()
+			first := te.hosts(te.plannerInput(po, now), now)
+			for range 10 {
+				asserter.Equal(t, fmt.Sprint(te.hosts(te.plannerInput(po, now), now)), fmt.Sprint(first))
+			}
+		})
+	})
 	t.Run("nothing is moved while a task waits", func(t *testing.T) {
 		runPaired(t, 2, func(te *term, po *policy.Policy) {
 			te.place("other", workload.Waiting)
@@ -166,11 +239,64 @@
 			now := te.Clock.Now() + poll
 			asserter.Equal(t, after(te, now, 5), 0)
 			pl := te.workers["w-0"].runs[workload.TaskKey{Job: "index"}]
-			pl.speed, pl.speedAt = 50, now+poll/2
+			pl.speed, te.workers["w-0"].orderedAt = 50, now+poll/2
 			asserter.Equal(t, after(te, now+poll, 5), 0)
 			asserter.Equal(t, after(te, now+2*poll, 5), 2)
 		})
 	})
+	t.Run("nothing before an ordered change of speed is compared with what comes after it", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			wo, now := te.workers["w-0"], te.Clock.Now()+poll
+			web := wo.runs[workload.TaskKey{Job: "web"}]
+			after(te, now, 5)
+			after(te, now+poll, 5)
+			before, _ := web.watch.history.Mean()
+			wo.orderedAt = now + poll + poll/2
+			after(te, now+2*poll, 20)
+			after(te, now+3*poll, 20)
+			mean, _ := web.watch.history.Mean()
+			expected := before - math.Log(4)
+			asserter.Equal(t, math.Abs(mean-expected) < 0.01, true)
+		})
+	})
+	t.Run("a change of speed counts as ordered from when it is sent, also if it is not answered", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			te.Workers = unthrottled{te.Workers}
+			wo, key := te.workers["w-0"], workload.TaskKey{Job: "index"}
+			// expectOrdered checks when the last change was ordered, after a wait.
+			expectOrdered := func(wait, want clock.Millis) {
+				t.Helper()
+				time.Sleep(wait.Duration())
+				te.mu.Lock()
+				defer te.mu.Unlock()
+				asserter.Equal(t, wo.orderedAt, want)
+				asserter.Equal(t, wo.runs[key].speed, throttler.FullSpeed)
+			}
+			now := te.Clock.Now()
+			te.mu.Lock()
+			te.submitThrottle(wo, key, wo.runs[key], 50)
+			te.mu.Unlock()
+			expectOrdered(noAnswerTime/2, now)
+			expectOrdered(noAnswerTime, now+noAnswerTime)
+		})
+	})
+	t.Run("the same neighbours at parts of their speeds do not end a measurement", func(t *testing.T) {
+		runPaired(t, 1, func(te *term, _ *policy.Policy) {
+			for i, speed := range []meter.Percent{10, 20, 70} {
+				pl := te.place(fmt.Sprint("filler", i), workload.Running)
+				pl.speed = speed
+				te.jobs[identifier.Job(fmt.Sprint("filler", i))].job.Steps[0].Image = "filler"
+			}
+			now := te.Clock.Now() + poll
+			after(te, now, 0)
+			for range 50 {
+				asserter.Equal(t, after(te, now+poll, 0), 0)
+				for _, pl := range te.workers["w-0"].runs {
+					asserter.Equal(t, pl.watch.at, now)
+				}
+			}
+		})
+	})
 	t.Run("the samples of a second are bounded", func(t *testing.T) {
 		runPaired(t, 1, func(te *term, _ *policy.Policy) {
 			now := te.Clock.Now() + poll
@@ -215,3 +341,27 @@
 		})
 	})
 }
+
+func TestDisturbedMember(t *testing.T) {
+	runPaired(t, 1, func(te *term, _ *policy.Policy) {
+		wo, web, index := te.workers["w-0"], workload.TaskKey{Job: "web"}, workload.TaskKey{Job: "index"}
+		expectDisturbed := func(name string, key workload.TaskKey, want bool) {
+			t.Helper()
+			if got := te.disturbedMember(wo, key, te.stepOf(key)); got != want {
+				t.Errorf("%s: got %v, want %v", name, got, want)
+			}
+		}
+		for _, key := range []workload.TaskKey{web, index} {
+			te.jobs[key.Job].job.Steps[0].Gang = true
+		}
+		expectDisturbed("before the pairs were evaluated", web, false)
+		te.refreshPairs(te.Clock.Now() + 40*clock.Second)
+		expectDisturbed("a member beside an image that disturbs it", web, true)
+		expectDisturbed("a member that disturbs others", index, false)
+		te.jobs["web"].job.Steps[0].Gang = false
+		expectDisturbed("a task that is in no gang", web, false)
+		te.jobs["web"].job.Steps[0].Gang = true
+		delete(wo.runs, index)
+		expectDisturbed("a member alone", web, false)
+	})
+}
