--- a/bench/simulator/arrivals.go
+++ b/bench/simulator/arrivals.go
@@ -54,6 +54,9 @@
 	var all []*arrival
 	for i := range lo.Kinds {
 		ki := &lo.Kinds[i]
+		for range ki.Filled {
+			all = append(all, newArrival(lo, ki, 0, so))
+		}
 		for at := clock.Millis(0); ; {
 			rate := ki.PerSecond * lo.Rate * lo.burstFactor(ki.Name, at)
 			at += clock.Millis(so.ExpFloat64() / rate * float64(clock.Second))
--- a/bench/simulator/load.go
+++ b/bench/simulator/load.go
@@ -25,6 +25,8 @@
 		MaxAttempts int
 		// PerSecond is the rate of arrival in all zones together.
 		PerSecond float64
+		// Filled is the number of jobs that arrive at the beginning of the day.
+		Filled int
 		// Credit is the credit for a job of mean work that completes before its deadline, and
 		// LateCredit the credit for one that completes later.
 		Credit, LateCredit float64
@@ -95,6 +97,10 @@
 		CrossRackFactor float64
 		// WastePenalty is the penalty for a core-second of lost work, in credit.
 		WastePenalty float64
+		// CheckpointInterval is the interval between two checkpoints of a run. If it is 0, a stopped run has
+		// saved half of what it did.
+		CheckpointInterval clock.Millis
+		Departures         []Departure
 	}
 )
 
--- a/bench/simulator/result.go
+++ b/bench/simulator/result.go
@@ -27,9 +27,18 @@
 	weightZone      = 0.28
 	weightWorkspace = 0.16
 	weightWindow    = 0.14
+
+	// Causes for which the work of a run is lost.
+	notLost          lossCause = 0
+	lostToPreemption lossCause = 1
+	lostWithWorker   lossCause = 2
+	lostWithMember   lossCause = 3
+	lostByCancel     lossCause = 4
 )
 
 type (
+	lossCause int
+
 	// Result is the result of a day. Credit is given as a fraction of the credit owed, which is
 	// what would be earned if every job met its objective.
 	Result struct {
@@ -44,6 +53,11 @@
 		// Waste is the work that was lost when runs were stopped, in core-seconds. WastePenalty
 		// is the penalty for it as a fraction of the credit owed.
 		Waste, WastePenalty float64
+		// Kept is the number of accelerators times the seconds for which they were kept free for gangs that
+		// did not fit yet.
+		Kept float64
+		// Lost is Waste by its cause.
+		Lost map[string]float64
 		// Preemptions is the number of stops that the policy requested. CrossRackTasks is the
 		// number of tasks of gangs that requested a single rack and were placed on several.
 		Preemptions, CrossRackTasks int
@@ -63,6 +77,19 @@
 	re.ended[id] = at
 }
 
+// recordLoss adds lost work in core-seconds.
+func (re *Result) recordLoss(cause lossCause, work float64) {
+	if re.Lost == nil {
+		re.Lost = map[string]float64{}
+	}
+	re.Waste += work
+	re.Lost[cause.String()] += work
+}
+
+func (lc lossCause) String() string {
+	return [...]string{"other", "preempted", "workerLeft", "memberEnded", "cancelled"}[lc]
+}
+
 func (ac *account) add(earned, owed float64) {
 	ac.earned += earned
 	ac.owed += owed
--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -27,6 +27,8 @@
 	restoreTime        = 600 * clock.Millis(1)
 	// minStopFraction is the minimum fraction of StopGrace that a stopped run takes to end.
 	minStopFraction = 0.3
+	// maxSaved is the largest fraction of a task's work that a checkpoint contains.
+	maxSaved = 0.95
 )
 
 type (
@@ -51,11 +53,16 @@
 		input    planner.Input
 		// runs holds the current run of each task that has one.
 		runs map[workload.TaskKey]*run
+		// leaving holds the workers that have announced their departure, with its time.
+		leaving map[identifier.Worker]clock.Millis
 		// nextRound is the time of the next round; 0 means that none is scheduled. lastRound is
 		// the time of the most recent round.
 		nextRound clock.Millis
 		lastRound clock.Millis
-		result    Result
+		// kept is the number of accelerators that the last plan keeps free for gangs.
+		kept   meter.Accelerators
+		keptAt clock.Millis
+		result Result
 	}
 
 	// run is one run of a task.
@@ -64,6 +71,10 @@
 		started  clock.Millis
 		worker   identifier.Worker
 		stopping bool
+		// duration is how long the run takes if it is not stopped.
+		duration clock.Millis
+		// cause is why the run is stopped or lost.
+		cause lossCause
 	}
 
 	event struct {
@@ -97,9 +108,11 @@
 	da := &day{
 		load: lo, policy: po, predictor: predictor.New(), random: source{rand.New(rand.NewPCG(seed, 2))},
 		byID: map[identifier.Job]*arrival{}, speeds: map[identifier.Worker]float64{}, runs: map[workload.TaskKey]*run{},
+		leaving: map[identifier.Worker]clock.Millis{},
 	}
 	da.arrivals = arrivals(lo, source{rand.New(rand.NewPCG(seed, 1))})
 	da.setUp()
+	da.scheduleDepartures(source{rand.New(rand.NewPCG(seed, 3))})
 	for _, ar := range da.arrivals {
 		da.byID[ar.job.ID] = ar
 		da.schedule(ar.at, func() { da.arrive(ar) })
@@ -137,6 +150,7 @@
 	da.input.ExpectedRunTime = func(jo *workload.Job, step int) clock.Millis {
 		return da.predictor.ExpectedRunTime(jo.Queue, jo.Steps[step].Estimate)
 	}
+	da.input.Remaining = da.remaining
 	da.input.WaitTime = func(id identifier.Job) clock.Millis { return da.now - da.byID[id].at }
 }
 
@@ -153,7 +167,7 @@
 
 func (da *day) cancel(ar *arrival) {
 	if ar.job.Cancel() {
-		da.scheduleStops(ar.job)
+		da.scheduleStops(ar.job, lostByCancel)
 		da.requestRound()
 	}
 }
@@ -184,12 +198,14 @@
 		}
 	}
 	da.input.Jobs, da.input.Now = jobs, da.now
+	da.evacuate()
 	mean, deviation := da.predictor.UpdateDemand("pool", da.now, da.urgentInUse())
 	da.input.Demand = map[identifier.Pool]planner.Demand{"pool": {Mean: mean, Deviation: deviation}}
 	pl := da.policy.Plan(da.input)
+	da.keep(pl.Held)
 	for _, sp := range pl.Stops {
 		sp.Job.StopTask(sp.Stage, &sp.Stage.Tasks[sp.Index])
-		da.scheduleStops(sp.Job)
+		da.scheduleStops(sp.Job, lostToPreemption)
 		da.result.Preemptions++
 	}
 	for _, st := range pl.Starts {
@@ -200,6 +216,12 @@
 	}
 }
 
+// keep adds up how long accelerators are kept free for gangs that do not fit yet.
+func (da *day) keep(held meter.Accelerators) {
+	da.result.Kept += float64(da.kept) * seconds(da.now-da.keptAt)
+	da.kept, da.keptAt = held, da.now
+}
+
 // urgentInUse returns the number of accelerators that urgent tasks occupy.
 func (da *day) urgentInUse() meter.Accelerators {
 	var taken meter.Accelerators
@@ -228,6 +250,7 @@
 			slow = da.speeds[pl.Worker]
 		}
 		duration, failing := da.runDuration(ar, st.Stage, pl.Index, ta, slow)
+		ru.duration = duration
 		outcome := workload.OutcomeDone
 		if failing {
 			outcome = workload.OutcomeFailed
@@ -273,7 +296,7 @@
 }
 
 // scheduleStops schedules the ends of the runs of a job that are to stop, within StopGrace.
-func (da *day) scheduleStops(jo *workload.Job) {
+func (da *day) scheduleStops(jo *workload.Job, cause lossCause) {
 	ar := da.byID[jo.ID]
 	jo.EachHeld(func(st *workload.Stage, index int, ta *workload.Task) {
 		key := jo.Key(st, index)
@@ -282,6 +305,7 @@
 			return
 		}
 		ru.stopping = true
+		ru.markLost(cause)
 		share := minStopFraction + (1-minStopFraction)*da.random.Float64()
 		da.schedule(da.now+startDelay+clock.Millis(share*float64(da.load.StopGrace)), func() { da.endRun(ar, key, ru, workload.OutcomeStopped) })
 	})
@@ -290,7 +314,7 @@
 // endRun handles the completion of a run. It ignores a completion if the run is no longer
 // current, or if the run is being stopped and completes in any other way.
 func (da *day) endRun(ar *arrival, key workload.TaskKey, ru *run, outcome workload.RunOutcome) {
-	if da.runs[key] != ru || (ru.stopping && outcome != workload.OutcomeStopped) {
+	if da.runs[key] != ru || (ru.stopping && outcome != workload.OutcomeStopped && outcome != workload.OutcomeWorkerLost) {
 		return
 	}
 	st, ta := ar.job.Task(key)
@@ -309,14 +333,18 @@
 		if ta.Checkpoint == "" {
 			da.predictor.RecordRun(ar.job.Queue, step.Estimate, ran)
 		}
-	case workload.OutcomeStopped:
-		da.result.Waste += cores(step.Request) * seconds(lost)
+	case workload.OutcomeStopped, workload.OutcomeWorkerLost:
+		da.result.recordLoss(ru.cause, cores(step.Request)*seconds(lost))
 	}
 	ar.job.CompleteRun(key, co, ar.kind.MaxAttempts)
 	if step.Gang {
 		da.removeGang(ar, st, outcome)
 	}
-	da.scheduleStops(ar.job)
+	cause := lostWithMember
+	if ru.cause != notLost {
+		cause = ru.cause
+	}
+	da.scheduleStops(ar.job, cause)
 	if ar.job.State.Final() && da.result.ended[ar.job.ID] == 0 {
 		da.result.recordEnd(ar.job.ID, da.now)
 	}
@@ -341,5 +369,9 @@
 		_, _ = fmt.Sscan(ta.Checkpoint, &done) // written by this simulator
 		ran = max(ran-restoreTime, 0)
 	}
-	return min(done+float64(ran)/float64(ar.runTimes[st.Step][index])/2, 0.95)
+	if interval := da.load.CheckpointInterval; interval > 0 {
+		saved := float64(ran/interval*interval) / float64(max(da.runs[ar.job.Key(st, index)].duration, 1))
+		return min(done+saved*(1-done), maxSaved)
+	}
+	return min(done+float64(ran)/float64(ar.runTimes[st.Step][index])/2, maxSaved)
 }
--- a/decisions/planner/hold.go
+++ b/decisions/planner/hold.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -96,3 +97,14 @@
 	}
 	return most
 }
+
+// heldAccelerators returns how many accelerators of held slots are free.
+func (ro *round) heldAccelerators() meter.Accelerators {
+	var held meter.Accelerators
+	for _, sl := range ro.slots {
+		if sl.held {
+			held += max(sl.free.Accelerators, 0)
+		}
+	}
+	return held
+}
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -58,6 +58,9 @@
 		// headroom. MaxHeadroom limits the headroom to a fraction of the accelerators of a
 		// pool.
 		HeadroomDeviations, MaxHeadroom float64
+		// UnsavedDeviations and MaxUnsavedHeadroom take their place for gangs that write no checkpoints, which
+		// lose all when the room is taken back; 0 means that they do not.
+		UnsavedDeviations, MaxUnsavedHeadroom float64
 		// SeparationWeight is how strongly urgent work is drawn to the first racks and other
 		// work to the last, as a fraction of the capacity of a worker.
 		SeparationWeight float64
@@ -67,6 +70,13 @@
 		// first, and late work in ascending order of its total work. Otherwise work is placed
 		// in order of acceptance.
 		OrderByObjective bool
+		// DepartByRemaining means that runs on departing workers are stopped by the time until they end.
+		// Otherwise all are stopped at the last moment at which they can save.
+		DepartByRemaining bool
+		// PreemptByValue means that runs are stopped only where the work that starts gains more than they
+		// lose and no room becomes free soon by itself; work within a guarantee may wait for such room, but
+		// not be refused. Otherwise every preemption that is possible is made.
+		PreemptByValue bool
 	}
 
 	// Planner makes plans according to its tuning.
@@ -93,6 +103,9 @@
 		// ExpectedRunTime returns the expected run time of a task of a step; if it is nil,
 		// the estimate of the step is used.
 		ExpectedRunTime func(jo *workload.Job, step int) clock.Millis
+		// Remaining returns the time until a run is expected to end, 0 if it is unknown; nil means that it is
+		// never known.
+		Remaining func(jo *workload.Job, st *workload.Stage, index int) clock.Millis
 		// Starts limits how many tasks the plan starts; nil means no limit.
 		Starts *StartLimit
 		// WaitTime returns the time since the scheduler learned of a job, on its own clock.
@@ -134,12 +147,19 @@
 		Index int
 		// PreemptedFor is the job for which the resources are freed.
 		PreemptedFor identifier.Job
+		// Guaranteed means that it is freed for work within a guarantee.
+		Guaranteed bool
+		// Loss is the work in core-milliseconds that the stop loses, and Gain the work that the other job
+		// has done in time because of all stops for it, as estimated. Gain is 0 where it is not weighed.
+		Loss, Gain float64
 	}
 
 	// Plan is the runs to start and to stop now.
 	Plan struct {
 		Starts []Start
 		Stops  []Stop
+		// Held is the number of accelerators that are kept free for gangs that do not fit yet.
+		Held meter.Accelerators
 	}
 
 	// candidate is a stage with tasks that may be started.
@@ -169,6 +189,7 @@
 	for _, ca := range ro.candidates() {
 		ro.place(ca)
 	}
+	ro.plan.Held = ro.heldAccelerators()
 	return ro.plan
 }
 
--- a/decisions/planner/preempt.go
+++ b/decisions/planner/preempt.go
@@ -12,9 +12,9 @@
 	// acceleratorCores is the value of an accelerator in cores, according to the platform's
 	// prices.
 	acceleratorCores = 8
-	// checkpointLoss is the work that a task with checkpoints loses when it is stopped: one
+	// UnsavedWork is the work that a task with checkpoints loses when it is stopped: one
 	// interval between checkpoints and one restore.
-	checkpointLoss = 1100 * clock.Millis(1)
+	UnsavedWork = 1100 * clock.Millis(1)
 )
 
 type (
@@ -25,10 +25,11 @@
 		index int
 	}
 
-	// victims is a set of units to stop and the work that this loses.
+	// victims is a set of units to stop. cost is the work in core-milliseconds that this loses, and gain the
+	// work that the winner has done in time because of it.
 	victims struct {
-		runs map[unit]run
-		cost float64
+		runs       map[unit]run
+		cost, gain float64
 	}
 )
 
@@ -53,6 +54,14 @@
 	if best == nil {
 		return false
 	}
+	if ro.tu.PreemptByValue {
+		if ro.waitForEnds(ca, slots, count, best.cost) {
+			return true
+		}
+		if best.gain = ro.gain(ca, count); ca.rank != rankGuaranteed && best.gain <= best.cost {
+			return false
+		}
+	}
 	ro.planStops(ca, best)
 	ro.reserve(ca, found)
 	return true
@@ -174,7 +183,9 @@
 			cmp.Compare(a.stage.Step, b.stage.Step), cmp.Compare(a.index, b.index))
 	})
 	for _, ru := range stops {
-		ro.plan.Stops = append(ro.plan.Stops, Stop{Job: ru.job, Stage: ru.stage, Index: ru.index, PreemptedFor: ca.job.ID})
+		ro.plan.Stops = append(ro.plan.Stops, Stop{
+			Job: ru.job, Stage: ru.stage, Index: ru.index, PreemptedFor: ca.job.ID, Guaranteed: ca.rank == rankGuaranteed, Loss: ro.loss(ru), Gain: vi.gain,
+		})
 	}
 	for _, sl := range ro.slots {
 		sl.runs = slices.DeleteFunc(sl.runs, func(ru run) bool {
@@ -200,11 +211,14 @@
 	ta := &ru.stage.Tasks[ru.index]
 	lost := ro.in.Now - ta.PlacedAt
 	if step.Checkpointing {
-		lost = min(lost, checkpointLoss)
+		lost = min(lost, UnsavedWork)
 	}
 	cores := coresOf(step.Request)
 	if step.Gang {
 		cores *= float64(step.Count)
 	}
+	if ro.tu.PreemptByValue {
+		return cores * ro.lossInTime(ru, float64(lost))
+	}
 	return cores * float64(lost)
 }
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -276,9 +276,10 @@
 		return true
 	}
 	pool := ca.queue.Pool
-	limit := ro.tu.MaxHeadroom * float64(ro.accelerators[pool])
+	deviations, most := ro.headroomOf(ca)
+	limit := most * float64(ro.accelerators[pool])
 	de := ro.in.Demand[pool]
-	headroom := min(de.Mean+ro.tu.HeadroomDeviations*de.Deviation-float64(ro.urgentInUse[pool]), limit)
+	headroom := min(de.Mean+deviations*de.Deviation-float64(ro.urgentInUse[pool]), limit)
 	return float64(ro.freeAccelerators(pool))-float64(count)*float64(ca.step.Request.Accelerators) >= headroom
 }
 
--- a/shared/meter/meter.go
+++ b/shared/meter/meter.go
@@ -23,6 +23,10 @@
 	MilliCores int64
 	// Mebibytes is an amount of memory in units of 1024 * 1024 bytes.
 	Mebibytes int64
+	// CoreSeconds is an amount of work, in which an accelerator counts as several cores.
+	CoreSeconds int64
+	// AcceleratorSeconds is a number of accelerators times the seconds for which they were kept.
+	AcceleratorSeconds int64
 	// Percent is a proportion in hundredths.
 	Percent int32
 	// RunNumber numbers the runs of a task, starting at 1; 0 means that it was never started.
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -81,6 +81,7 @@
 	// Metrics counts events and records durations.
 	Metrics interface {
 		Count(name, label string)
+		Add(name, label string, more int64)
 		Observe(name string, d clock.Millis)
 	}
 
--- a/wagtailcroftd/controller/maintenance.go
+++ b/wagtailcroftd/controller/maintenance.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/accountant"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -44,7 +45,7 @@
 			if !te.mayInterrupt(te.jobs[key.Job].job, st) {
 				continue
 			}
-			te.stopTask(key)
+			te.interrupt(key, accountant.Maintenance)
 		}
 	}
 	te.trigger()
--- a/wagtailcroftd/controller/permission_test.go
+++ b/wagtailcroftd/controller/permission_test.go
@@ -55,7 +55,8 @@
 
 func (quietPeers) Ping(context.Context, string) bool { return true }
 
-func (quietMetrics) Count(string, string) {}
+func (quietMetrics) Count(string, string)      {}
+func (quietMetrics) Add(string, string, int64) {}
 
 func (quietMetrics) Observe(string, clock.Millis) {}
 
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -212,6 +212,7 @@
 	en := te.jobs[ru.Task.Job]
 	_, ta := en.job.Task(ru.Task)
 	ta.Progress = ru.Progress
+	pl.progress.Report(now, ru.Progress)
 	pl.tailLatency = ru.TailLatency
 	if ru.Checkpoint != "" {
 		ta.Checkpoint = ru.Checkpoint
@@ -227,6 +228,9 @@
 // confirmStart records that a worker has started a run.
 func confirmStart(en *entry, pl *placement, ta *workload.Task, now clock.Millis) {
 	pl.startedAt = now
+	if !pl.resumed && !pl.inherited {
+		pl.progress.Start(now)
+	}
 	if ta.Phase != workload.Starting {
 		return
 	}
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/accountant"
 	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
@@ -12,9 +13,6 @@
 )
 
 const (
-	// evacuationMargin is the time, in addition to the stop grace period, that a run on a
-	// draining worker is given to write its checkpoint.
-	evacuationMargin = 800 * clock.Millis(1)
 	// loadLogInterval is the time between two log lines about the load.
 	loadLogInterval = 1000 * clock.Millis(1)
 	// pacePerGangTimeout is the fraction of the time for which members of a gang wait for each other
@@ -82,6 +80,7 @@
 	in := te.plannerInput(po, now)
 	te.advise(in, po, now)
 	pl := te.planner.Plan(in)
+	te.accountHeld(pl, now)
 	te.logLoad(in, pl, now)
 	for _, sp := range pl.Stops {
 		te.applyStop(sp)
@@ -111,17 +110,17 @@
 	}
 }
 
-// evacuate stops the runs on draining workers while there is time to write their checkpoints.
+// evacuate stops the runs on draining workers that the planner does not let run on.
 func (te *term) evacuate(now clock.Millis) {
 	for _, wo := range te.workers {
-		if !wo.report.Draining || now < wo.leavesAt-te.op.StopGrace-evacuationMargin {
+		if !wo.report.Draining {
 			continue
 		}
 		for key := range wo.runs {
-			if _, ta := te.jobs[key.Job].job.Task(key); ta.Phase != workload.Stopping {
+			if _, ta := te.jobs[key.Job].job.Task(key); ta.Phase != workload.Stopping && te.stopsBeforeDeparture(wo, key, now) {
 				te.log.Info().Str("task", key.String()).Str("worker", string(wo.id)).
 					Int64("leavesInMillis", int64(wo.leavesAt-now)).Msg("runEvacuated")
-				te.stopTask(key)
+				te.interrupt(key, accountant.WorkerLeft)
 			}
 		}
 	}
@@ -138,6 +137,9 @@
 			return te.predictor.ExpectedRunTime(jo.Queue, jo.Steps[step].Estimate)
 		},
 		WaitTime: func(id identifier.Job) clock.Millis { return now - te.jobs[id].learnedAt },
+		Remaining: func(jo *workload.Job, st *workload.Stage, index int) clock.Millis {
+			return te.remaining(jo, st, index, now)
+		},
 	}
 	for i := range po.Queues {
 		qu := &po.Queues[i]
@@ -264,9 +266,11 @@
 			}
 		}
 	}
+	kept, keptSeconds := te.losses.Held()
 	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int("blocked", blocked).Int64("wanted", int64(wanted)).Int("held", held).
 		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
+		Int64("keptAccelerators", int64(kept)).Int64("keptAcceleratorSeconds", int64(keptSeconds)).Int64("lostCoreSeconds", int64(te.losses.TotalLost())).
 		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
 		Int64("planMillis", int64(te.lastRound.plan)).Int64("recordMillis", int64(te.lastRound.record)).Int("recorded", te.lastRound.jobs).
 		Int("commands", te.commands.Unfinished()).Int("passes", passes.count).Int64("passMillis", int64(passes.took)).Int64("processorMillis", int64(used)).Msg("loadReported")
@@ -275,8 +279,9 @@
 func (te *term) applyStop(sp planner.Stop) {
 	ta := &sp.Stage.Tasks[sp.Index]
 	te.log.Info().Str("task", sp.Job.Key(sp.Stage, sp.Index).String()).Int64("run", int64(ta.Run)).Str("for", string(sp.PreemptedFor)).
-		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Msg("runPreempted")
-	te.stopTask(sp.Job.Key(sp.Stage, sp.Index))
+		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Bool("guaranteed", sp.Guaranteed).
+		Int64("lossCoreSeconds", int64(sp.Loss/float64(clock.Second))).Int64("gainCoreSeconds", int64(sp.Gain/float64(clock.Second))).Msg("runPreempted")
+	te.interrupt(sp.Job.Key(sp.Stage, sp.Index), accountant.Preempted)
 }
 
 func (te *term) applyStart(st planner.Start, now clock.Millis) {
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/accountant"
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
@@ -123,6 +124,8 @@
 		passedAt clock.Millis
 		// lastRound is the timing of the last round.
 		lastRound roundTiming
+		// losses counts the work that was lost and the room that was kept free since the term began.
+		losses accountant.Accountant
 		// loadLoggedAt is when the load was last logged.
 		loadLoggedAt clock.Millis
 		// passes counts the passes since loadLoggedAt.
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"github.com/wagtailcroft/wagtailcroft/decisions/accountant"
 	"github.com/wagtailcroft/wagtailcroft/decisions/assessor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -145,6 +147,10 @@
 		throttling bool
 		// tailLatency is the tail latency that the run last reported.
 		tailLatency clock.Millis
+		// cause is why this leader stops the run; empty means that it does not.
+		cause accountant.Cause
+		// progress is what the worker has reported of the run's progress.
+		progress predictor.Progress
 		// stoppedAt is when the worker accepted a stop command; 0 means not yet.
 		stoppedAt clock.Millis
 	}
@@ -330,7 +336,8 @@
 	if step := en.job.StepOf(st); co.Outcome == workload.OutcomeDone && pl != nil && pl.startedAt > 0 && !pl.resumed && !step.LongRunning {
 		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.Clock.Now()-pl.startedAt)
 	}
-	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("how", co.Outcome.String()).Str("proof", string(proof)).
+	cause, lost := te.accountEnd(en.job, en.job.StepOf(st), ta, pl, co)
+	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("cause", string(cause)).Int64("lostCoreSeconds", lost).Str("how", co.Outcome.String()).Str("proof", string(proof)).
 		Int64("life", int64(ta.Incarnation)).Int64("told", int64(wo.told)).Int64("silentMillis", int64(te.Clock.Now()-wo.clockAt)).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Int("failures", max(ta.Failures, st.Failures)).Msg("runEnded")
 	if state != en.job.State {
--- a/wagtailcroftd/instrumenter/instrumenter.go
+++ b/wagtailcroftd/instrumenter/instrumenter.go
@@ -45,13 +45,16 @@
 func (in *Instrumenter) Publish(name string) { expvar.Publish(name, in) }
 
 // Count increments a counter.
-func (in *Instrumenter) Count(name, label string) {
+func (in *Instrumenter) Count(name, label string) { in.Add(name, label, 1) }
+
+// Add adds a number, 0 or more, to a counter.
+func (in *Instrumenter) Add(name, label string, more int64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.counters[name] == nil {
 		in.counters[name] = map[string]int64{}
 	}
-	in.counters[name][label]++
+	in.counters[name][label] += more
 }
 
 // Observe records a duration in a histogram. Durations beyond the upper bound are recorded as the
