Add rules for gangs that cannot save, for holds and for the order of a backlog

Cause: gangs that cannot save are started on room that guarantees take back before they have ended; room is held for gangs without regard to when it becomes free; on time means by the least slack, by which few callers are served when room is short.

Change: such gangs leave more headroom; room is held only if it is expected to become free within the time that the gang can use, and is lent to what ends before; an order by the room that a job takes, its patience and the use of its workspace; why names the workspaces that use most of the pool. Off in today's presets.

--- a/bench/simulator/load.go
+++ b/bench/simulator/load.go
@@ -3,6 +3,7 @@
 package simulator
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -139,6 +140,21 @@
 	}
 }
 
+// WorkerSpeeds returns the factor by which each worker multiplies run times.
+func (lo Load) WorkerSpeeds() map[identifier.Worker]float64 {
+	speeds := map[identifier.Worker]float64{}
+	for zone := range lo.Zones {
+		for i := range lo.WorkersPerZone {
+			speeds[workerID(zone, i)] = lo.Speeds[(len(speeds)+1)%len(lo.Speeds)]
+		}
+	}
+	return speeds
+}
+
+func workerID(zone, i int) identifier.Worker {
+	return identifier.Worker(fmt.Sprintf("w%d-%02d", zone, i))
+}
+
 // Scaled returns the load for a deployment of about 350 workers, with more and wider jobs.
 func (lo Load) Scaled() Load {
 	lo.Name += " grown"
--- a/bench/simulator/result.go
+++ b/bench/simulator/result.go
@@ -20,6 +20,10 @@
 	// windowLength is the length of the arrival windows. The two worst windows of a day are a
 	// part of its worth.
 	windowLength = 5 * clock.Second
+	// recoveryWindow is the length of the windows by which the recovery from a disturbance is measured, and
+	// recoveredCredit the credit of a window that is served as usual.
+	recoveryWindow  = 2 * clock.Second
+	recoveredCredit = 0.9
 
 	// Weights of the parts of a day's worth.
 	weightDay       = 0.36
@@ -56,6 +60,9 @@
 		// Kept is the number of accelerators times the seconds for which they were kept free for gangs that
 		// did not fit yet.
 		Kept float64
+		// Recovery is the time from the end of the last burst or departure until the jobs that arrive in a
+		// short window earn recoveredCredit again, or until the end of the arrivals.
+		Recovery clock.Millis
 		// Lost is Waste by its cause.
 		Lost map[string]float64
 		// Preemptions is the number of stops that the policy requested. CrossRackTasks is the
@@ -107,6 +114,8 @@
 	means := da.meanWork()
 	total := &account{}
 	kinds, zones, workspaces, windows := map[identifier.Queue]*account{}, map[int]*account{}, map[identifier.Workspace]*account{}, map[int]*account{}
+	recovering := map[int]*account{}
+	disturbed := da.load.disturbedUntil()
 	for _, ar := range da.arrivals {
 		if ar.cancelled > 0 {
 			continue
@@ -118,10 +127,16 @@
 		accountOf(zones, ar.zone).add(earned, owed)
 		accountOf(workspaces, ar.job.Workspace).add(earned, owed)
 		accountOf(windows, int(ar.at/windowLength)).add(earned, owed)
+		if ar.at >= disturbed {
+			accountOf(recovering, int((ar.at-disturbed)/recoveryWindow)).add(earned, owed)
+		}
 	}
 	re := &da.result
 	re.Day, re.WorstKind, re.WorstZone, re.WorstWorkspace = total.ratio(), meanOfWorst(kinds, 1), meanOfWorst(zones, 1), meanOfWorst(workspaces, 1)
 	re.WorstWindows = meanOfWorst(windows, 2)
+	for re.Recovery < da.load.Length-disturbed && accountOf(recovering, int(re.Recovery/recoveryWindow)).ratio() < recoveredCredit {
+		re.Recovery += recoveryWindow
+	}
 	re.ByKind = map[identifier.Queue]float64{}
 	for name, ac := range kinds {
 		re.ByKind[name] = ac.ratio()
@@ -131,6 +146,18 @@
 	re.Worth = re.Worth/(weightDay+weightKind+weightZone+weightWorkspace+weightWindow) - re.WastePenalty
 }
 
+// disturbedUntil returns when the last burst has ended and the last worker that left has been replaced.
+func (lo Load) disturbedUntil() clock.Millis {
+	var last clock.Millis
+	for _, bu := range lo.Bursts {
+		last = max(last, bu.From+bu.Length)
+	}
+	for _, de := range lo.Departures {
+		last = max(last, de.At+de.Notice+de.Away)
+	}
+	return last
+}
+
 // credit returns the credit that a job earned, which depends on how late it ended. A job that
 // always fails earns credit if it ended as failed, any other job if it did not.
 func (da *day) credit(ar *arrival) float64 {
--- a/decisions/planner/hold.go
+++ b/decisions/planner/hold.go
@@ -22,6 +22,10 @@
 	if fits := maxFitOnRack(slots, ca.step.Reserved()); ca.step.SameRack && fits >= count {
 		groups = racks(slots)
 	}
+	if ro.tu.HoldByEnd {
+		ro.holdUntilEnds(ca, groups, count)
+		return
+	}
 	var best []*slot
 	least := 0.0
 	for _, group := range groups {
--- a/decisions/planner/leave.go
+++ b/decisions/planner/leave.go
@@ -34,5 +34,5 @@
 	if de.Step.Checkpointing {
 		return lastMoment && de.Remaining > left/2
 	}
-	return de.Remaining > left-de.StopGrace/2
+	return de.Remaining > left-de.StopGrace
 }
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -70,6 +70,10 @@
 		// first, and late work in ascending order of its total work. Otherwise work is placed
 		// in order of acceptance.
 		OrderByObjective bool
+		// OrderByWorth means that work on time is placed by the room that it takes, in ascending order, and
+		// moves forward as the time that it can wait runs out and where its workspace uses little of the
+		// pool. Otherwise the work that can wait least is placed first.
+		OrderByWorth bool
 		// DepartByRemaining means that runs on departing workers are stopped by the time until they end.
 		// Otherwise all are stopped at the last moment at which they can save.
 		DepartByRemaining bool
@@ -77,6 +81,10 @@
 		// lose and no room becomes free soon by itself; work within a guarantee may wait for such room, but
 		// not be refused. Otherwise every preemption that is possible is made.
 		PreemptByValue bool
+		// HoldByEnd means that room is held for a gang only if it is expected to become free within the time
+		// that the gang can wait and that it runs for, and is lent to work that ends before. Otherwise the
+		// least occupied room is held without limit.
+		HoldByEnd bool
 	}
 
 	// Planner makes plans according to its tuning.
@@ -213,6 +221,9 @@
 			}
 			if ro.tu.OrderByObjective && ca.rank != rankGuaranteed {
 				ca.group, ca.sortKey = ro.timeliness(ca)
+				if ro.tu.OrderByWorth && qu.SlowdownFactor > 0 {
+					ca.sortKey = ro.roomKey(ca)
+				}
 			}
 			all = append(all, ca)
 		}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -48,6 +48,9 @@
 		preemptionSearches int
 		// urgentInUse is the number of accelerators of each pool that urgent work uses.
 		urgentInUse map[identifier.Pool]meter.Accelerators
+		// inUse is the use of each workspace that has jobs, as a multiple of an equal part of all; nil until it
+		// is needed.
+		inUse map[identifier.Workspace]float64
 		// accelerators is the number of accelerators of the usable slots of each pool.
 		accelerators map[identifier.Pool]meter.Accelerators
 		// freeCounts holds, for each pool, the number of usable slots by the number of
@@ -74,6 +77,9 @@
 		runs []run
 		// held means that the slot takes no other work until a gang fits.
 		held bool
+		// heldFor is the time until the gang is expected to start; until then work may use the slot that ends
+		// before. 0 means that none may.
+		heldFor clock.Millis
 		// planned is the number of tasks of each stage that the plan places here.
 		planned map[*workload.Stage]int
 		// occupied is the number of runs here and of tasks that the plan places here, and unproven that of
--- a/decisions/planner/value.go
+++ b/decisions/planner/value.go
@@ -92,8 +92,20 @@
 // It returns how much headroom the tasks have to leave: the deviations of the demand, and the limit as a
 // fraction of the pool. Room that urgent work asks for again and again is lent to what ends or saves soon.
 func (ro *round) headroomOf(ca candidate) (deviations, limit float64) {
-	if ro.tu.UnsavedDeviations > 0 && ca.step.Gang && !ca.step.Checkpointing {
-		return ro.tu.UnsavedDeviations, ro.tu.MaxUnsavedHeadroom
+	if ro.tu.UnsavedDeviations == 0 || ca.queue.SlowdownFactor == 0 || !ca.step.Gang || ca.step.Checkpointing {
+		return ro.tu.HeadroomDeviations, ro.tu.MaxHeadroom
 	}
-	return ro.tu.HeadroomDeviations, ro.tu.MaxHeadroom
+	if group, _ := ro.timeliness(ca); group == overdue {
+		return ro.tu.UnsavedDeviations, ro.tu.MaxHeadroom // it comes last, but not never
+	}
+	return ro.tu.UnsavedDeviations, ro.tu.MaxUnsavedHeadroom
+}
+
+// patience returns how much of the time that a job could wait without becoming late is left, from 1 to 0.
+func (ro *round) patience(ca candidate) float64 {
+	group, slack := ro.timeliness(ca)
+	if group != onTime {
+		return 0
+	}
+	return slack / max(slack+float64(ro.in.WaitTime(ca.job.ID)), 1)
 }
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -170,7 +170,7 @@
 	case qu.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks waiting for the advice service to approve workers", name, waiting)
 	}
-	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool))
+	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool)+te.describeHolders(pool))
 }
 
 // describeCapacity describes the resources that each task of a step requests, and those that
