Let the leader stop, hold and leave room by what that costs

Change: the controller uses the preset Contention: runs on departing workers by their measured progress, preemption by gain and loss, holds by expected ends, more headroom before gangs that cannot save; work that was stopped three times and does not save is spared by work beyond guarantees. The remaining time of a gang is that of its slowest member.

--- a/bench/cmd_days.go
+++ b/bench/cmd_days.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -16,22 +18,32 @@
 
 const policiesPlot = "policies.svg"
 
-var cmdDays = commander.Command{
-	Name: "days",
-	Help: "Simulate days of step jobs with every policy and write the tables and the plot.",
-	Bind: func(cl *kingpin.CmdClause) func() error {
-		fl := &dayFlags{}
-		cl.Flag("seeds", "Number of days to simulate for each load and policy.").Default("60").IntVar(&fl.seeds)
-		cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
-		cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
-		return func() error { return compareDays(fl) }
-	},
-}
+var (
+	// dayLoads holds the loads that can be simulated, by name.
+	dayLoads = map[string]func() simulator.Load{
+		"Thengola": simulator.Thengola, "Derwent": simulator.Derwent, "Corav": simulator.Corav, "Kibanda": simulator.Kibanda,
+	}
+
+	cmdDays = commander.Command{
+		Name: "days",
+		Help: "Simulate days of step jobs with every policy and write the tables and the plot.",
+		Bind: func(cl *kingpin.CmdClause) func() error {
+			fl := &dayFlags{}
+			cl.Flag("seeds", "Number of days to simulate for each load and policy.").Default("60").IntVar(&fl.seeds)
+			cl.Flag("load", "Load to simulate; may be given several times. Corav and Kibanda take minutes a policy.").Default("Thengola", "Derwent").
+				EnumsVar(&fl.loads, slices.Sorted(maps.Keys(dayLoads))...)
+			cl.Flag("docs", "Folder to write to.").Default("docs").StringVar(&fl.docs)
+			cl.Flag("commit", "Commit that is measured, shown above the tables.").Default("unknown").StringVar(&fl.commit)
+			return func() error { return compareDays(fl) }
+		},
+	}
+)
 
 type (
 	// dayFlags holds the flags of the days subcommand.
 	dayFlags struct {
 		seeds  int
+		loads  []string
 		docs   string
 		commit string
 	}
@@ -50,13 +62,14 @@
 		{"former", planner.New(planner.AcceptanceOrder)},
 		{"completion", planner.New(planner.Completion)},
 		{"fragmentation", planner.New(planner.Fragmentation)},
+		{"contention", planner.New(planner.Contention)},
 	}
 }
 
 func compareDays(fl *dayFlags) error {
-	loads := []simulator.Load{simulator.Thengola(), simulator.Derwent()}
-	rows := make([]reporter.DayRow, 0, len(loads)*(len(dayPolicies())+1))
-	for _, lo := range loads {
+	rows := make([]reporter.DayRow, 0, len(fl.loads)*(len(dayPolicies())+1))
+	for _, name := range fl.loads {
+		lo := dayLoads[name]()
 		for _, dp := range dayPolicies() {
 			rows = append(rows, reporter.DayRow{Load: lo.Name, Policy: dp.name, Results: simulateDays(lo, dp.policy, fl.seeds)})
 		}
--- a/bench/reporter/days.go
+++ b/bench/reporter/days.go
@@ -12,6 +12,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"github.com/wagtailcroft/wagtailcroft/bench/simulator"
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/pager"
 )
 
@@ -49,17 +50,20 @@
 	for i, ro := range rows {
 		kinds := slices.Sorted(maps.Keys(ro.Results[0].ByKind))
 		if i == 0 || ro.Load != rows[i-1].Load {
-			fmt.Fprintf(&out, "\n%s\n\n| policy | worth | whole day | worst kind | worst zone | worst workspace | worst seconds | waste | preempted a day |", ro.Load)
+			fmt.Fprintf(&out, "\n%s\n\n| policy | worth | whole day | worst kind | worst zone | worst workspace | worst seconds | waste | preempted a day | core-seconds lost to preemption | with withdrawn workers | accelerator-seconds kept free | seconds until 0.9 again |", ro.Load)
 			for _, name := range kinds {
 				fmt.Fprintf(&out, " %s |", name)
 			}
-			out.WriteString("\n| --- " + strings.Repeat("| ---: ", 8+len(kinds)) + "|\n")
+			out.WriteString("\n| --- " + strings.Repeat("| ---: ", 12+len(kinds)) + "|\n")
 		}
 		fmt.Fprintf(&out, "| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f |", ro.Policy, ro.mean(worthOf),
 			ro.mean(func(re simulator.Result) float64 { return re.Day }), ro.mean(func(re simulator.Result) float64 { return re.WorstKind }),
 			ro.mean(func(re simulator.Result) float64 { return re.WorstZone }), ro.mean(func(re simulator.Result) float64 { return re.WorstWorkspace }),
 			ro.mean(func(re simulator.Result) float64 { return re.WorstWindows }), ro.mean(func(re simulator.Result) float64 { return re.WastePenalty }),
 			ro.mean(func(re simulator.Result) float64 { return float64(re.Preemptions) }))
+		fmt.Fprintf(&out, " %.0f | %.0f | %.0f | %.1f |", ro.mean(func(re simulator.Result) float64 { return re.Lost["preempted"] }),
+			ro.mean(func(re simulator.Result) float64 { return re.Lost["workerLeft"] }), ro.mean(func(re simulator.Result) float64 { return re.Kept }),
+			ro.mean(func(re simulator.Result) float64 { return float64(re.Recovery) / float64(clock.Second) }))
 		for _, name := range kinds {
 			fmt.Fprintf(&out, " %.3f |", ro.mean(func(re simulator.Result) float64 { return re.ByKind[name] }))
 		}
--- a/decisions/planner/backlog_test.go
+++ b/decisions/planner/headroom_test.go
@@ -11,35 +11,6 @@
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
-// TestBacklogAfterBurst guards against a backlog that is taken in an order in which few callers are served in
-// time.
-func TestBacklogAfterBurst(t *testing.T) {
-	byWorth := planner.Completion
-	byWorth.OrderByWorth = true
-	t.Run("work that takes little room goes first", func(t *testing.T) {
-		fx := newFixture(1, 1)
-		large := fx.add(batch, "ws", stepWithEstimate(1, 8, 9000))
-		small := fx.add(batch, "ws", stepWithEstimate(1, 4, 9000))
-		fx.setObjective(map[identifier.Job]clock.Millis{large.ID: 2000, small.ID: 2000})
-		startsOnly(t, fx.plan(byWorth), small)
-	})
-	t.Run("work that can wait no longer overtakes it", func(t *testing.T) {
-		fx := newFixture(1, 1)
-		small := fx.add(batch, "ws", stepWithEstimate(1, 4, 9000))
-		large := fx.add(batch, "ws", stepWithEstimate(1, 8, 9000))
-		fx.setObjective(map[identifier.Job]clock.Millis{small.ID: 1000, large.ID: 18_500})
-		startsOnly(t, fx.plan(byWorth), large)
-	})
-	t.Run("a workspace that uses little goes before one that uses much", func(t *testing.T) {
-		fx := newFixture(2, 2)
-		fx.run(fx.add(batch, "large", step(1, 8)), 0)
-		first := fx.add(batch, "large", stepWithEstimate(1, 8, 9000))
-		second := fx.add(batch, "small", stepWithEstimate(1, 8, 9000))
-		fx.setObjective(map[identifier.Job]clock.Millis{first.ID: 2000, second.ID: 2000})
-		startsOnly(t, fx.plan(byWorth), second)
-	})
-}
-
 // TestRoomThatGuaranteesTakeBack guards against wide gangs that start on room which urgent work takes back
 // before they have ended.
 func TestRoomThatGuaranteesTakeBack(t *testing.T) {
--- a/decisions/planner/leave_test.go
+++ b/decisions/planner/leave_test.go
@@ -24,12 +24,15 @@
 		want            bool
 	}{
 		{"what can end in time runs on", byRemaining, plain, 1700, 1200, false},
-		{"it runs on to the last moment", byRemaining, plain, 600, 150, false},
-		{"what proves too slow is stopped while its worker answers", byRemaining, plain, 300, 150, true},
-		{"what cannot end in time is stopped at once", byRemaining, plain, 1700, 1800, true},
+		{"what cannot end in time is stopped at once", byRemaining, plain, 1700, 1400, true},
+		{"what is about to end runs on at the last moment", byRemaining, plain, 1100, 500, false},
+		{"what is not is stopped while its worker answers", byRemaining, plain, 1100, 700, true},
 		{"what saves works on until it has to save", byRemaining, saving, 1700, 9000, false},
 		{"what saves is stopped while it can save", byRemaining, saving, 1100, 9000, true},
 		{"what saves and is about to end runs on", byRemaining, saving, 1100, 500, false},
+		{"what saves is stopped if it is not known when it ends", byRemaining, saving, 1100, 0, true},
+		{"so is what does not save, then", byRemaining, plain, 1100, 0, true},
+		{"but not before", byRemaining, plain, 1700, 0, false},
 		{"long-running work serves to the last moment", byRemaining, lasting, 1700, 0, false},
 		{"long-running work is stopped then", byRemaining, lasting, 1100, 0, true},
 		{"without the setting all work on until the last moment", planner.Completion, plain, 1700, 9000, false},
--- a/decisions/planner/order.go
+++ b/decisions/planner/order.go
@@ -5,7 +5,6 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
-	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 )
 
 // Groups of work by whether it can meet its objective.
@@ -42,7 +41,7 @@
 	for i := range ca.job.Steps {
 		step := &ca.job.Steps[i]
 		ran := ro.expected(ca.job, i)
-		work += workOf(step, ran)
+		work += coresOf(step.Request) * float64(step.Count) * float64(ran)
 		ran *= clock.Millis(ro.waves(ca, step))
 		total += ran
 		if i >= ca.stage.Step {
@@ -60,45 +59,6 @@
 	return overdue, work
 }
 
-// workOf returns the work in core-milliseconds of a step whose tasks run for a time.
-func workOf(step *workload.Step, ran clock.Millis) float64 {
-	return coresOf(step.Request) * float64(step.Count) * float64(ran)
-}
-
-// roomKey answers callers who compete for too little room after a burst or an outage. It is the room that is
-// left to be used by the job, less as the job's patience runs out, and more where its workspace uses more than
-// its part of the pool, so that most callers are served in time and no workspace is served last again and again.
-func (ro *round) roomKey(ca candidate) float64 {
-	work := 0.0
-	for i := ca.stage.Step; i < len(ca.job.Steps); i++ {
-		work += workOf(&ca.job.Steps[i], ro.expected(ca.job, i))
-	}
-	if ca.group == onTime {
-		work *= ro.patience(ca)
-	}
-	return work * (1 + ro.useOf(ca.job.Workspace))
-}
-
-// useOf returns the accelerators that a workspace uses, as a multiple of an equal part of all.
-func (ro *round) useOf(ws identifier.Workspace) float64 {
-	if ro.inUse == nil {
-		ro.inUse = map[identifier.Workspace]float64{}
-		sum := 0.0
-		for _, jo := range ro.in.Jobs {
-			ro.inUse[jo.Workspace] += 0
-			jo.EachHeld(func(st *workload.Stage, _ int, _ *workload.Task) {
-				use := float64(jo.StepOf(st).Request.Accelerators)
-				ro.inUse[jo.Workspace] += use
-				sum += use
-			})
-		}
-		for name := range ro.inUse {
-			ro.inUse[name] *= float64(len(ro.inUse)) / max(sum, 1)
-		}
-	}
-	return ro.inUse[ws]
-}
-
 // expected returns the expected run time of a task of a step.
 func (ro *round) expected(jo *workload.Job, step int) clock.Millis {
 	if ro.in.ExpectedRunTime == nil {
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -70,10 +70,6 @@
 		// first, and late work in ascending order of its total work. Otherwise work is placed
 		// in order of acceptance.
 		OrderByObjective bool
-		// OrderByWorth means that work on time is placed by the room that it takes, in ascending order, and
-		// moves forward as the time that it can wait runs out and where its workspace uses little of the
-		// pool. Otherwise the work that can wait least is placed first.
-		OrderByWorth bool
 		// DepartByRemaining means that runs on departing workers are stopped by the time until they end.
 		// Otherwise all are stopped at the last moment at which they can save.
 		DepartByRemaining bool
@@ -221,9 +217,6 @@
 			}
 			if ro.tu.OrderByObjective && ca.rank != rankGuaranteed {
 				ca.group, ca.sortKey = ro.timeliness(ca)
-				if ro.tu.OrderByWorth && qu.SlowdownFactor > 0 {
-					ca.sortKey = ro.roomKey(ca)
-				}
 			}
 			all = append(all, ca)
 		}
--- a/decisions/planner/preempt.go
+++ b/decisions/planner/preempt.go
@@ -129,7 +129,7 @@
 	}
 	var preemptible []run
 	for _, ru := range sl.runs {
-		if _, isVictim := vi.runs[unitOf(ru)]; ru.rank > ca.rank && !isVictim {
+		if _, isVictim := vi.runs[unitOf(ru)]; ru.rank > ca.rank && !isVictim && !ro.spared(ca, ru) {
 			preemptible = append(preemptible, ru)
 		}
 	}
@@ -217,8 +217,14 @@
 	if step.Gang {
 		cores *= float64(step.Count)
 	}
-	if ro.tu.PreemptByValue {
-		return cores * ro.lossInTime(ru, float64(lost))
+	if !ro.tu.PreemptByValue {
+		return cores * float64(lost)
+	}
+	un := unitOf(ru)
+	value, known := ro.losses[un]
+	if !known {
+		value = cores * ro.lossInTime(ru, float64(lost))
+		ro.losses[un] = value
 	}
-	return cores * float64(lost)
+	return value
 }
--- a/decisions/planner/preempt_test.go
+++ b/decisions/planner/preempt_test.go
@@ -94,3 +94,22 @@
 	t.Run("the run that has lost least is stopped first", func(t *testing.T) { asserter.Equal(t, victim(0), identifier.Job("j00")) })
 	t.Run("one that was stopped before is spared", func(t *testing.T) { asserter.Equal(t, victim(2), identifier.Job("j01")) })
 }
+
+// TestBoundOfPreemptions guards against work beyond guarantees that keeps a gang from ever ending.
+func TestBoundOfPreemptions(t *testing.T) {
+	stops := func(earlier int, guaranteed, saves bool) int {
+		fx, wide, _ := fullFleet(100, 5_000)
+		wide.Steps[0].Checkpointing = saves
+		if guaranteed {
+			fx.Guarantees["b"] = 16
+		}
+		for i := range wide.Stages[0].Tasks {
+			wide.Stages[0].Tasks[i].Run = meter.RunNumber(1 + earlier)
+		}
+		return len(byValue().Plan(fx.Input).Stops)
+	}
+	t.Run("a gang that was stopped twice may be stopped again", func(t *testing.T) { asserter.Equal(t, stops(2, false, false), 1) })
+	t.Run("after the third time it is spared", func(t *testing.T) { asserter.Equal(t, stops(3, false, false), 0) })
+	t.Run("unless it saves", func(t *testing.T) { asserter.Equal(t, stops(3, false, true), 1) })
+	t.Run("or a guarantee is reclaimed", func(t *testing.T) { asserter.Equal(t, stops(9, true, false), 1) })
+}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -48,9 +48,8 @@
 		preemptionSearches int
 		// urgentInUse is the number of accelerators of each pool that urgent work uses.
 		urgentInUse map[identifier.Pool]meter.Accelerators
-		// inUse is the use of each workspace that has jobs, as a multiple of an equal part of all; nil until it
-		// is needed.
-		inUse map[identifier.Workspace]float64
+		// losses holds the loss of each unit of which it was computed, where it is weighed.
+		losses map[unit]float64
 		// accelerators is the number of accelerators of the usable slots of each pool.
 		accelerators map[identifier.Pool]meter.Accelerators
 		// freeCounts holds, for each pool, the number of usable slots by the number of
@@ -99,7 +98,7 @@
 )
 
 func newRound(tu Tuning, in Input) *round {
-	ro := &round{tu: tu, in: in, urgentInUse: map[identifier.Pool]meter.Accelerators{}, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coveredJobs(in), freeCounts: map[identifier.Pool][]int{}, accelerators: map[identifier.Pool]meter.Accelerators{}}
+	ro := &round{tu: tu, in: in, urgentInUse: map[identifier.Pool]meter.Accelerators{}, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coveredJobs(in), freeCounts: map[identifier.Pool][]int{}, losses: map[unit]float64{}, accelerators: map[identifier.Pool]meter.Accelerators{}}
 	for i := range in.Workers {
 		wo := &in.Workers[i]
 		sl := &slot{worker: wo, free: wo.Capacity, freeSoon: wo.Capacity}
--- a/decisions/planner/value.go
+++ b/decisions/planner/value.go
@@ -18,6 +18,9 @@
 	urgentValue = 12
 	// freeStops is how often a unit may be stopped before each further stop counts as a loss of its own.
 	freeStops = 1
+	// maxStops is how often a unit that does not save may be stopped before only work within a guarantee may
+	// stop it again.
+	maxStops = 3
 )
 
 // gain returns the work in core-milliseconds that ends in time if the tasks start now rather than later.
@@ -54,6 +57,12 @@
 	return max(int(ta.Run)-1-max(ta.Failures, ru.stage.Failures), 0)
 }
 
+// spared reports whether a run may not be stopped for a candidate, because its unit has been stopped so often
+// that it would never end.
+func (ro *round) spared(ca candidate, ru run) bool {
+	return ro.tu.PreemptByValue && ca.rank != rankGuaranteed && !ru.job.StepOf(ru.stage).Checkpointing && earlierStops(ru) >= maxStops
+}
+
 // waitForEnds reports whether the tasks fit without any stop once runs have ended that are about to, and that
 // wait costs less than the stops. It reserves the room then.
 func (ro *round) waitForEnds(ca candidate, slots []*slot, count int, cost float64) bool {
@@ -100,12 +109,3 @@
 	}
 	return ro.tu.UnsavedDeviations, ro.tu.MaxUnsavedHeadroom
 }
-
-// patience returns how much of the time that a job could wait without becoming late is left, from 1 to 0.
-func (ro *round) patience(ca candidate) float64 {
-	group, slack := ro.timeliness(ca)
-	if group != onTime {
-		return 0
-	}
-	return slack / max(slack+float64(ro.in.WaitTime(ca.job.ID)), 1)
-}
--- a/decisions/predictor/progress.go
+++ b/decisions/predictor/progress.go
@@ -31,11 +31,14 @@
 	pr.last, pr.lastAt = done, at
 }
 
+// Done reports whether the run has reported that its own work is done. It may still wait for others.
+func (pr *Progress) Done() bool { return pr.last >= wholeProgress }
+
 // Remaining returns the time until the run is expected to end at the pace that it had between its reports. It
-// reports false if they are too few to tell.
+// reports false if they are too few to tell, or if the run goes on although its work is done.
 func (pr *Progress) Remaining(now clock.Millis) (clock.Millis, bool) {
 	span, done := pr.lastAt-pr.firstAt, pr.last-pr.first
-	if span < minProgressSpan || done <= 0 {
+	if span < minProgressSpan || done <= 0 || pr.Done() {
 		return 0, false
 	}
 	left := clock.Millis(float64(span) * float64(wholeProgress-pr.last) / float64(done))
--- a/decisions/predictor/progress_test.go
+++ b/decisions/predictor/progress_test.go
@@ -37,6 +37,7 @@
 		{"a resumed run is measured from its first report", 0, []report{{1000, 60}, {2000, 70}}, 2000, 3000},
 		{"one report of a resumed run tells no pace", 0, []report{{1000, 60}}, 2000, -1},
 		{"reports that go back start over", 1000, []report{{3000, 50}, {4000, 10}, {5000, 30}}, 5000, 3500},
+		{"when a run ends that has done its work is unknown", 1000, []report{{3000, 100}}, 3000, -1},
 		{"a run beyond its expected end is about to end", 1000, []report{{2000, 50}}, 9000, 1},
 	} {
 		t.Run(ex.name, func(t *testing.T) {
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -163,7 +163,7 @@
 
 // New returns a controller that does nothing until Run is called.
 func New(de Dependencies, op Options) *Controller {
-	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Completion), mu: locker.New(locker.RankMembers)}
+	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Contention), mu: locker.New(locker.RankMembers)}
 }
 
 // Leader reads from the store which instance is the leader; an empty instance means that there is
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -136,10 +136,8 @@
 		ExpectedRunTime: func(jo *workload.Job, step int) clock.Millis {
 			return te.predictor.ExpectedRunTime(jo.Queue, jo.Steps[step].Estimate)
 		},
-		WaitTime: func(id identifier.Job) clock.Millis { return now - te.jobs[id].learnedAt },
-		Remaining: func(jo *workload.Job, st *workload.Stage, index int) clock.Millis {
-			return te.remaining(jo, st, index, now)
-		},
+		WaitTime:  func(id identifier.Job) clock.Millis { return now - te.jobs[id].learnedAt },
+		Remaining: te.remainingTimes(now),
 	}
 	for i := range po.Queues {
 		qu := &po.Queues[i]
