--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -44,6 +45,7 @@
 		random    source
 		now       clock.Millis
 		predictor *predictor.Predictor
+		gauger    *gauger.Gauger
 		events    events
 
 		arrivals []*arrival
@@ -75,6 +77,8 @@
 		duration clock.Millis
 		// cause is why the run is stopped or lost.
 		cause lossCause
+		// far is the slowdown because the run's gang is on several racks; 1 means none.
+		far float64
 	}
 
 	event struct {
@@ -106,7 +110,7 @@
 // Run simulates a day with a policy. Equal seeds draw equal jobs for all policies.
 func Run(lo Load, seed uint64, po Policy) Result {
 	da := &day{
-		load: lo, policy: po, predictor: predictor.New(), random: source{rand.New(rand.NewPCG(seed, 2))},
+		load: lo, policy: po, predictor: predictor.New(), gauger: gauger.New(), random: source{rand.New(rand.NewPCG(seed, 2))},
 		byID: map[identifier.Job]*arrival{}, speeds: lo.WorkerSpeeds(), runs: map[workload.TaskKey]*run{},
 		leaving: map[identifier.Worker]clock.Millis{},
 	}
@@ -120,6 +124,7 @@
 			da.schedule(ar.cancelled, func() { da.cancel(ar) })
 		}
 	}
+	da.schedule(pollInterval, da.pollAll)
 	end := lo.Length + lo.DrainTime
 	for len(da.events) > 0 && da.events[0].at <= end {
 		ev := da.events.next()
@@ -200,6 +205,7 @@
 	da.evacuate()
 	mean, deviation := da.predictor.UpdateDemand("pool", da.now, da.urgentInUse())
 	da.input.Demand = map[identifier.Pool]planner.Demand{"pool": {Mean: mean, Deviation: deviation}}
+	da.gaugeWorkers()
 	pl := da.policy.Plan(da.input)
 	da.keep(pl.Held)
 	for _, sp := range pl.Stops {
@@ -237,12 +243,12 @@
 	ar := da.byID[st.Job.ID]
 	step := st.Job.StepOf(st.Stage)
 	number := st.Stage.NextRun(st.Placements[0].Index, step.Gang)
-	factor := da.gangSlowdown(st, step)
+	factor, far := da.gangSlowdown(st, step)
 	for _, pl := range st.Placements {
 		ta := &st.Stage.Tasks[pl.Index]
 		ta.Phase, ta.Run, ta.Worker, ta.Incarnation, ta.PlacedAt = workload.Running, number, pl.Worker, pl.Incarnation, da.now
 		key := st.Job.Key(st.Stage, pl.Index)
-		ru := &run{number: int(number), started: da.now + startDelay, worker: pl.Worker}
+		ru := &run{number: int(number), started: da.now + startDelay, worker: pl.Worker, far: far}
 		da.runs[key] = ru
 		slow := factor
 		if !step.Gang {
@@ -260,9 +266,10 @@
 }
 
 // gangSlowdown returns the factor by which the run time of a gang is longer than on one
-// rack of workers of normal speed. The slowest member determines the speed of the gang.
-func (da *day) gangSlowdown(st planner.Start, step *workload.Step) float64 {
+// rack of workers of normal speed, and the part of it that comes of several racks. The slowest member determines the speed of the gang.
+func (da *day) gangSlowdown(st planner.Start, step *workload.Step) (factor, far float64) {
 	slowest := 0.0
+	far = 1
 	racks := map[identifier.Rack]bool{}
 	for _, pl := range st.Placements {
 		slowest = max(slowest, da.speeds[pl.Worker])
@@ -273,10 +280,10 @@
 		}
 	}
 	if step.SameRack && len(racks) > 1 {
-		slowest *= da.load.CrossRackFactor
+		far = da.load.CrossRackFactor
 		da.result.CrossRackTasks += len(st.Placements)
 	}
-	return slowest
+	return slowest * far, far
 }
 
 // runDuration returns how long the run takes, and whether it then fails. A checkpoint holds
@@ -330,7 +337,8 @@
 	switch outcome {
 	case workload.OutcomeDone:
 		if ta.Checkpoint == "" {
-			da.predictor.RecordRun(ar.job.Queue, step.Estimate, ran)
+			da.gaugeEnd(ar, key, ru, ran)
+			da.predictor.RecordRun(ar.job.Queue, step.Estimate, da.normalRunTime(ar, st, ru.worker, ran))
 		}
 	case workload.OutcomeStopped, workload.OutcomeWorkerLost:
 		da.result.recordLoss(ru.cause, cores(step.Request)*seconds(lost))
--- a/shared/gen/member/member.go
+++ b/shared/gen/member/member.go
@@ -7,23 +7,56 @@
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
+// ImagePair Two images, in any order.
+type ImagePair struct {
+	// One The one image.
+	One externalRef0.ImageID `json:"one" toml:"one" validate:"required,max=4000"`
+
+	// Other The other image.
+	Other externalRef0.ImageID `json:"other" toml:"other" validate:"required,max=4000"`
+}
+
 // Settings Settings of an instance of the step job scheduler.
 type Settings struct {
 	// AdviceAddress Address of the service that decides which workers may run a step; empty means none.
 	AdviceAddress string `json:"adviceAddress,omitempty" toml:"adviceAddress" validate:"omitempty,hostname_port"`
 
+	// AnswerTimeoutMillis How long a client may not take an answer, in milliseconds.
+	AnswerTimeoutMillis externalRef0.Millis `json:"answerTimeoutMillis" toml:"answerTimeoutMillis" validate:"min=100,max=600000"`
+
+	// BodyTimeoutMillis How long the body of a request may make no progress, in milliseconds.
+	BodyTimeoutMillis externalRef0.Millis `json:"bodyTimeoutMillis" toml:"bodyTimeoutMillis" validate:"min=100,max=600000"`
+
 	// CallerAddress Listen address for callers.
 	CallerAddress string `json:"callerAddress" toml:"callerAddress" validate:"required,hostname_port"`
 
+	// ConnectionLimit How many connections of clients and other instances may be open, on all listeners together; each takes a descriptor and about 24 KiB.
+	ConnectionLimit int `json:"connectionLimit" toml:"connectionLimit" validate:"min=16"`
+
+	// EvacuateMillis Time since the evacuations of availability zones were last confirmed after which no run is started, in milliseconds; 0 means that no zone is evacuated.
+	EvacuateMillis externalRef0.Millis `json:"evacuateMillis,omitempty" toml:"evacuateMillis" validate:"min=0,max=600000"`
+
 	// GangTimeoutMillis How long a member of a gang waits on its worker for the other members, in milliseconds.
 	GangTimeoutMillis externalRef0.Millis `json:"gangTimeoutMillis" toml:"gangTimeoutMillis" validate:"min=100,max=600000"`
 
 	// GraceMillis Maximum duration of a graceful shutdown, in milliseconds.
 	GraceMillis externalRef0.Millis `json:"graceMillis" toml:"graceMillis" validate:"min=100,max=600000"`
 
+	// HeadLimit Largest head of a request where the configuration of the operators states none, in bytes.
+	HeadLimit externalRef0.Bytes `json:"headLimit" toml:"headLimit" validate:"min=1024"`
+
+	// HeadTimeoutMillis Time from the first byte of a head to its end where the configuration of the operators states none, in milliseconds.
+	HeadTimeoutMillis externalRef0.Millis `json:"headTimeoutMillis" toml:"headTimeoutMillis" validate:"min=100,max=600000"`
+
+	// IgnoreInterference Images that are treated as harmless to each other, whatever is measured.
+	IgnoreInterference []ImagePair `json:"ignoreInterference,omitempty" toml:"ignoreInterference" validate:"max=256,dive"`
+
 	// Instance Name of the instance.
 	Instance externalRef0.InstanceID `json:"instance" toml:"instance" validate:"required,max=63"`
 
+	// KeepApart Images whose tasks are kept apart where there is room, whatever is measured.
+	KeepApart []ImagePair `json:"keepApart,omitempty" toml:"keepApart" validate:"max=256,dive"`
+
 	// LeaseMillis Duration of the leases of runs, in milliseconds.
 	LeaseMillis externalRef0.Millis `json:"leaseMillis" toml:"leaseMillis" validate:"min=500,max=600000"`
 
@@ -48,6 +81,9 @@
 	// ReadinessAddress Listen address for readiness checks.
 	ReadinessAddress string `json:"readinessAddress" toml:"readinessAddress" validate:"required,hostname_port"`
 
+	// RequestMemory Memory that unfinished requests may hold, on all connections together, in bytes. Beyond it, the one that has sent least for longest is closed.
+	RequestMemory externalRef0.Bytes `json:"requestMemory" toml:"requestMemory" validate:"min=1048576"`
+
 	// RetentionMillis How long ended jobs are kept, in milliseconds.
 	RetentionMillis externalRef0.Millis `json:"retentionMillis" toml:"retentionMillis" validate:"min=1000"`
 
@@ -71,4 +107,7 @@
 
 	// Zone Availability zone of the instance.
 	Zone externalRef0.ZoneID `json:"zone" toml:"zone" validate:"required,max=63"`
+
+	// Zones The availability zones of the system; empty means that they are not known.
+	Zones []externalRef0.ZoneID `json:"zones,omitempty" toml:"zones"`
 }
--- a/shared/gen/operator/operator.go
+++ b/shared/gen/operator/operator.go
@@ -19,6 +19,48 @@
 	externalRef0 "github.com/wagtailcroft/wagtailcroft/shared/gen/types"
 )
 
+// Defines values for ImagePairViewNamed.
+const (
+	ImagePairViewNamedApart   ImagePairViewNamed = "apart"
+	ImagePairViewNamedIgnored ImagePairViewNamed = "ignored"
+	ImagePairViewNamedNone    ImagePairViewNamed = "none"
+)
+
+// Valid indicates whether the value is a known member of the ImagePairViewNamed enum.
+func (e ImagePairViewNamed) Valid() bool {
+	switch e {
+	case ImagePairViewNamedApart:
+		return true
+	case ImagePairViewNamedIgnored:
+		return true
+	case ImagePairViewNamedNone:
+		return true
+	default:
+		return false
+	}
+}
+
+// Defines values for ImagePairViewVerdict.
+const (
+	ImagePairViewVerdictDisturbs ImagePairViewVerdict = "disturbs"
+	ImagePairViewVerdictHarmless ImagePairViewVerdict = "harmless"
+	ImagePairViewVerdictUnknown  ImagePairViewVerdict = "unknown"
+)
+
+// Valid indicates whether the value is a known member of the ImagePairViewVerdict enum.
+func (e ImagePairViewVerdict) Valid() bool {
+	switch e {
+	case ImagePairViewVerdictDisturbs:
+		return true
+	case ImagePairViewVerdictHarmless:
+		return true
+	case ImagePairViewVerdictUnknown:
+		return true
+	default:
+		return false
+	}
+}
+
 // Defines values for InstanceViewState.
 const (
 	InstanceViewStateConfirmed   InstanceViewState = "confirmed"
@@ -61,6 +103,7 @@
 // Defines values for TargetViewState.
 const (
 	TargetViewStateDraining    TargetViewState = "draining"
+	TargetViewStateEvacuated   TargetViewState = "evacuated"
 	TargetViewStateLeaving     TargetViewState = "leaving"
 	TargetViewStateLive        TargetViewState = "live"
 	TargetViewStateQuarantined TargetViewState = "quarantined"
@@ -72,6 +115,8 @@
 	switch e {
 	case TargetViewStateDraining:
 		return true
+	case TargetViewStateEvacuated:
+		return true
 	case TargetViewStateLeaving:
 		return true
 	case TargetViewStateLive:
@@ -85,6 +130,24 @@
 	}
 }
 
+// Defines values for WorkerPaceViewCause.
+const (
+	WorkerPaceViewCauseNeighbors WorkerPaceViewCause = "neighbors"
+	WorkerPaceViewCauseWorker    WorkerPaceViewCause = "worker"
+)
+
+// Valid indicates whether the value is a known member of the WorkerPaceViewCause enum.
+func (e WorkerPaceViewCause) Valid() bool {
+	switch e {
+	case WorkerPaceViewCauseNeighbors:
+		return true
+	case WorkerPaceViewCauseWorker:
+		return true
+	default:
+		return false
+	}
+}
+
 // EditResult The result of a RowEdit.
 type EditResult struct {
 	// Applied False if the edit was a dry run.
@@ -118,6 +181,42 @@
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
 
+// ImagePairView What is known of how one image slows down another on the same worker.
+type ImagePairView struct {
+	// Contrasts Number of comparisons with and without the neighbour, in which old ones count less.
+	Contrasts float64 `json:"contrasts"`
+
+	// Disturbed Image whose tasks are slowed down.
+	Disturbed externalRef0.ImageID `json:"disturbed"`
+
+	// Disturbing Image whose tasks may be the cause.
+	Disturbing externalRef0.ImageID `json:"disturbing"`
+
+	// Factor Expected factor by which a task takes longer beside one of the disturbing image.
+	Factor float64 `json:"factor"`
+
+	// HighFactor Upper end of that range.
+	HighFactor float64 `json:"highFactor"`
+
+	// LowFactor Lower end of the range that the factor is in with 95% probability.
+	LowFactor float64 `json:"lowFactor"`
+
+	// Named Whether an operator has named the pair.
+	Named ImagePairViewNamed `json:"named"`
+
+	// Verdict Unknown means that the evidence suffices for neither harmless nor disturbs.
+	Verdict ImagePairViewVerdict `json:"verdict"`
+
+	// Workers Number of workers on which they were made, at most 8.
+	Workers int `json:"workers"`
+}
+
+// ImagePairViewNamed Whether an operator has named the pair.
+type ImagePairViewNamed string
+
+// ImagePairViewVerdict Unknown means that the evidence suffices for neither harmless nor disturbs.
+type ImagePairViewVerdict string
+
 // InstanceView One entry instance.
 type InstanceView struct {
 	// Instance Identifies an instance.
@@ -139,6 +238,14 @@
 // InstanceViewState Whether the instance has confirmed its table version recently; leaving means that it is shutting down.
 type InstanceViewState string
 
+// InterferenceList defines model for InterferenceList.
+type InterferenceList struct {
+	Pairs []ImagePairView `json:"pairs"`
+
+	// Workers Workers whose tasks are slow.
+	Workers []WorkerPaceView `json:"workers"`
+}
+
 // JobList defines model for JobList.
 type JobList struct {
 	Jobs []JobView `json:"jobs"`
@@ -189,10 +296,12 @@
 	Fence externalRef0.LeaseEpoch `json:"fence"`
 
 	// Instance Identifies an instance.
-	Instance   externalRef0.InstanceID `json:"instance"`
-	Jobs       []JobView               `json:"jobs"`
-	Targets    []TargetView            `json:"targets"`
-	Workspaces []WorkspaceView         `json:"workspaces"`
+	Instance     externalRef0.InstanceID `json:"instance"`
+	Interference InterferenceList        `json:"interference"`
+	Jobs         []JobView               `json:"jobs"`
+	Targets      []TargetView            `json:"targets"`
+	Workspaces   []WorkspaceView         `json:"workspaces"`
+	Zones        []ZoneView              `json:"zones"`
 }
 
 // OverviewQuery Asks the leader for its Overview, over net/rpc.
@@ -291,7 +400,16 @@
 	// Rack Identifies a rack.
 	Rack externalRef0.RackID `json:"rack,omitempty"`
 
-	// State Leaving means drained by the platform, draining means drained by an operator, and silent means unresponsive.
+	// RunTimePercent Run time of tasks on the worker as a percentage of that on a normal one; 100 as long as nothing shows that workers differ.
+	RunTimePercent int `json:"runTimePercent,omitempty"`
+
+	// SpeedAgeMillis Time since one of these runs last told something.
+	SpeedAgeMillis externalRef0.Millis `json:"speedAgeMillis,omitempty"`
+
+	// SpeedRuns Number of runs on which the percentage rests.
+	SpeedRuns int `json:"speedRuns,omitempty"`
+
+	// State Leaving means drained by the platform, draining means drained by an operator, silent means unresponsive, and evacuated means that its zone is.
 	State TargetViewState `json:"state"`
 
 	// TargetID Identifies a target (a runner or a worker).
@@ -307,7 +425,7 @@
 // TargetViewKind defines model for TargetView.Kind.
 type TargetViewKind string
 
-// TargetViewState Leaving means drained by the platform, draining means drained by an operator, and silent means unresponsive.
+// TargetViewState Leaving means drained by the platform, draining means drained by an operator, silent means unresponsive, and evacuated means that its zone is.
 type TargetViewState string
 
 // Why Explains why a job waits or was placed where it is.
@@ -318,6 +436,27 @@
 	State string             `json:"state"`
 }
 
+// WorkerPaceView Why the tasks of a worker are slow.
+type WorkerPaceView struct {
+	// Cause Worker means that its tasks are slow whichever neighbours they have, neighbors that they slow each other down.
+	Cause WorkerPaceViewCause `json:"cause"`
+
+	// NeighborFactor Factor that their neighbours explain.
+	NeighborFactor float64 `json:"neighborFactor"`
+
+	// OwnFactor Factor by which its tasks take longer that their neighbours do not explain.
+	OwnFactor float64 `json:"ownFactor"`
+
+	// Runs Number of measurements, at most 16.
+	Runs float64 `json:"runs"`
+
+	// Worker Identifies a worker.
+	Worker externalRef0.WorkerID `json:"worker"`
+}
+
+// WorkerPaceViewCause Worker means that its tasks are slow whichever neighbours they have, neighbors that they slow each other down.
+type WorkerPaceViewCause string
+
 // WorkspaceList defines model for WorkspaceList.
 type WorkspaceList struct {
 	Workspaces []WorkspaceView `json:"workspaces"`
@@ -334,6 +473,9 @@
 	// Jobs Number of jobs.
 	Jobs int `json:"jobs"`
 
+	// Unreclaimable Accelerators of its guarantee that it could not reclaim now because zones are evacuated.
+	Unreclaimable externalRef0.Accelerators `json:"unreclaimable,omitempty"`
+
 	// Used Accelerators used by its urgent work, up to the guarantee.
 	Used externalRef0.Accelerators `json:"used"`
 
@@ -344,6 +486,38 @@
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
 
+// ZoneList defines model for ZoneList.
+type ZoneList struct {
+	Zones []ZoneView `json:"zones"`
+}
+
+// ZoneView An availability zone with the workers of step jobs.
+type ZoneView struct {
+	// Accelerators Total number of accelerators.
+	Accelerators externalRef0.Accelerators `json:"accelerators,omitempty"`
+
+	// Evacuated Operators have asked to start nothing more in the zone.
+	Evacuated bool `json:"evacuated"`
+
+	// FreeAccelerators Number of free accelerators.
+	FreeAccelerators externalRef0.Accelerators `json:"freeAccelerators,omitempty"`
+
+	// Jobs The jobs of these tasks.
+	Jobs []externalRef0.JobID `json:"jobs"`
+
+	// RowVersion Version of the row that asks for it.
+	RowVersion externalRef0.RowVersion `json:"rowVersion,omitempty"`
+
+	// Tasks Tasks that occupy resources there.
+	Tasks []string `json:"tasks"`
+
+	// Workers Number of workers.
+	Workers int `json:"workers"`
+
+	// Zone Identifies an availability zone.
+	Zone externalRef0.ZoneID `json:"zone"`
+}
+
 // GetHistoryParams defines parameters for GetHistory.
 type GetHistoryParams struct {
 	Workspace externalRef0.WorkspaceID `form:"workspace,omitempty" json:"workspace,omitempty"`
@@ -439,6 +613,9 @@
 	// GetHistory performs a GET /v1/history (the `GetHistory` operationId) request.
 	GetHistory(ctx context.Context, params *GetHistoryParams, reqEditors ...RequestEditorFn) (*http.Response, error)
 
+	// ListInterference performs a GET /v1/interference (the `ListInterference` operationId) request.
+	ListInterference(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
+
 	// ListJobs performs a GET /v1/jobs (the `ListJobs` operationId) request.
 	ListJobs(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
 
@@ -473,6 +650,9 @@
 
 	// ListWorkspaces performs a GET /v1/workspaces (the `ListWorkspaces` operationId) request.
 	ListWorkspaces(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
+
+	// ListZones performs a GET /v1/zones (the `ListZones` operationId) request.
+	ListZones(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error)
 }
 
 // GetHistory performs a GET /v1/history (the `GetHistory` operationId) request.
@@ -488,6 +668,19 @@
 	return c.Client.Do(req)
 }
 
+// ListInterference performs a GET /v1/interference (the `ListInterference` operationId) request.
+func (c *Client) ListInterference(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewListInterferenceRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // ListJobs performs a GET /v1/jobs (the `ListJobs` operationId) request.
 func (c *Client) ListJobs(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
 	req, err := NewListJobsRequest(c.Server)
@@ -633,6 +826,19 @@
 	return c.Client.Do(req)
 }
 
+// ListZones performs a GET /v1/zones (the `ListZones` operationId) request.
+func (c *Client) ListZones(ctx context.Context, reqEditors ...RequestEditorFn) (*http.Response, error) {
+	req, err := NewListZonesRequest(c.Server)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if err := c.applyEditors(ctx, req, reqEditors); err != nil {
+		return nil, err
+	}
+	return c.Client.Do(req)
+}
+
 // NewGetHistoryRequest constructs an http.Request for the GetHistory method
 func NewGetHistoryRequest(server string, params *GetHistoryParams) (*http.Request, error) {
 	var err error
@@ -683,6 +889,33 @@
 	return req, nil
 }
 
+// NewListInterferenceRequest constructs an http.Request for the ListInterference method
+func NewListInterferenceRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/interference")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 // NewListJobsRequest constructs an http.Request for the ListJobs method
 func NewListJobsRequest(server string) (*http.Request, error) {
 	var err error
@@ -1047,6 +1280,33 @@
 	return req, nil
 }
 
+// NewListZonesRequest constructs an http.Request for the ListZones method
+func NewListZonesRequest(server string) (*http.Request, error) {
+	var err error
+
+	serverURL, err := url.Parse(server)
+	if err != nil {
+		return nil, err
+	}
+
+	operationPath := fmt.Sprintf("/v1/zones")
+	if operationPath[0] == '/' {
+		operationPath = "." + operationPath
+	}
+
+	queryURL, err := serverURL.Parse(operationPath)
+	if err != nil {
+		return nil, err
+	}
+
+	req, err := http.NewRequest(http.MethodGet, queryURL.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return req, nil
+}
+
 func (c *Client) applyEditors(ctx context.Context, req *http.Request, additionalEditors []RequestEditorFn) error {
 	for _, r := range c.RequestEditors {
 		if err := r(ctx, req); err != nil {
@@ -1096,6 +1356,11 @@
 	// Returns a wrapper object for the known response body format(s).
 	GetHistoryWithResponse(ctx context.Context, params *GetHistoryParams, reqEditors ...RequestEditorFn) (*GetHistoryResponse, error)
 
+	// ListInterferenceWithResponse performs a GET /v1/interference (the `ListInterference` operationId) request.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	ListInterferenceWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListInterferenceResponse, error)
+
 	// ListJobsWithResponse performs a GET /v1/jobs (the `ListJobs` operationId) request.
 	//
 	// Returns a wrapper object for the known response body format(s).
@@ -1150,6 +1415,11 @@
 	//
 	// Returns a wrapper object for the known response body format(s).
 	ListWorkspacesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListWorkspacesResponse, error)
+
+	// ListZonesWithResponse performs a GET /v1/zones (the `ListZones` operationId) request.
+	//
+	// Returns a wrapper object for the known response body format(s).
+	ListZonesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListZonesResponse, error)
 }
 
 type GetHistoryResponse struct {
@@ -1200,6 +1470,54 @@
 	return ""
 }
 
+type ListInterferenceResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *InterferenceList
+	// ApplicationProblemJSONDefault the response for an HTTP default `application/problem+json` response
+	ApplicationProblemJSONDefault *externalRef0.Problem
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r ListInterferenceResponse) GetJSON200() *InterferenceList {
+	return r.JSON200
+}
+
+// GetApplicationProblemJSONDefault returns the response for an HTTP default `application/problem+json` response
+func (r ListInterferenceResponse) GetApplicationProblemJSONDefault() *externalRef0.Problem {
+	return r.ApplicationProblemJSONDefault
+}
+
+// GetBody returns the raw response body bytes
+func (r ListInterferenceResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r ListInterferenceResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r ListInterferenceResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r ListInterferenceResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 type ListJobsResponse struct {
 	Body         []byte
 	HTTPResponse *http.Response
@@ -1680,6 +1998,54 @@
 	return ""
 }
 
+type ListZonesResponse struct {
+	Body         []byte
+	HTTPResponse *http.Response
+	// JSON200 the response for an HTTP 200 `application/json` response
+	JSON200 *ZoneList
+	// ApplicationProblemJSONDefault the response for an HTTP default `application/problem+json` response
+	ApplicationProblemJSONDefault *externalRef0.Problem
+}
+
+// GetJSON200 returns the response for an HTTP 200 `application/json` response
+func (r ListZonesResponse) GetJSON200() *ZoneList {
+	return r.JSON200
+}
+
+// GetApplicationProblemJSONDefault returns the response for an HTTP default `application/problem+json` response
+func (r ListZonesResponse) GetApplicationProblemJSONDefault() *externalRef0.Problem {
+	return r.ApplicationProblemJSONDefault
+}
+
+// GetBody returns the raw response body bytes
+func (r ListZonesResponse) GetBody() []byte {
+	return r.Body
+}
+
+// Status returns HTTPResponse.Status
+func (r ListZonesResponse) Status() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Status
+	}
+	return http.StatusText(0)
+}
+
+// StatusCode returns HTTPResponse.StatusCode
+func (r ListZonesResponse) StatusCode() int {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.StatusCode
+	}
+	return 0
+}
+
+// ContentType is a convenience method to retrieve the Content-Type value from the HTTP response headers
+func (r ListZonesResponse) ContentType() string {
+	if r.HTTPResponse != nil {
+		return r.HTTPResponse.Header.Get("Content-Type")
+	}
+	return ""
+}
+
 // GetHistoryWithResponse performs a GET /v1/history (the `GetHistory` operationId) request.
 //
 // Returns a wrapper object for the known response body format(s).
@@ -1691,6 +2057,17 @@
 	return ParseGetHistoryResponse(rsp)
 }
 
+// ListInterferenceWithResponse performs a GET /v1/interference (the `ListInterference` operationId) request.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) ListInterferenceWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListInterferenceResponse, error) {
+	rsp, err := c.ListInterference(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseListInterferenceResponse(rsp)
+}
+
 // ListJobsWithResponse performs a GET /v1/jobs (the `ListJobs` operationId) request.
 //
 // Returns a wrapper object for the known response body format(s).
@@ -1812,6 +2189,17 @@
 	return ParseListWorkspacesResponse(rsp)
 }
 
+// ListZonesWithResponse performs a GET /v1/zones (the `ListZones` operationId) request.
+//
+// Returns a wrapper object for the known response body format(s).
+func (c *ClientWithResponses) ListZonesWithResponse(ctx context.Context, reqEditors ...RequestEditorFn) (*ListZonesResponse, error) {
+	rsp, err := c.ListZones(ctx, reqEditors...)
+	if err != nil {
+		return nil, err
+	}
+	return ParseListZonesResponse(rsp)
+}
+
 // ParseGetHistoryResponse parses an HTTP response from a GetHistoryWithResponse call
 func ParseGetHistoryResponse(rsp *http.Response) (*GetHistoryResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -1845,6 +2233,39 @@
 	return response, nil
 }
 
+// ParseListInterferenceResponse parses an HTTP response from a ListInterferenceWithResponse call
+func ParseListInterferenceResponse(rsp *http.Response) (*ListInterferenceResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &ListInterferenceResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest InterferenceList
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && true:
+		var dest externalRef0.Problem
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.ApplicationProblemJSONDefault = &dest
+
+	}
+
+	return response, nil
+}
+
 // ParseListJobsResponse parses an HTTP response from a ListJobsWithResponse call
 func ParseListJobsResponse(rsp *http.Response) (*ListJobsResponse, error) {
 	bodyBytes, err := io.ReadAll(rsp.Body)
@@ -2175,12 +2596,48 @@
 	return response, nil
 }
 
+// ParseListZonesResponse parses an HTTP response from a ListZonesWithResponse call
+func ParseListZonesResponse(rsp *http.Response) (*ListZonesResponse, error) {
+	bodyBytes, err := io.ReadAll(rsp.Body)
+	defer func() { _ = rsp.Body.Close() }()
+	if err != nil {
+		return nil, err
+	}
+
+	response := &ListZonesResponse{
+		Body:         bodyBytes,
+		HTTPResponse: rsp,
+	}
+
+	switch {
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && rsp.StatusCode == 200:
+		var dest ZoneList
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.JSON200 = &dest
+
+	case strings.Contains(rsp.Header.Get("Content-Type"), "json") && true:
+		var dest externalRef0.Problem
+		if err := json.Unmarshal(bodyBytes, &dest); err != nil {
+			return nil, err
+		}
+		response.ApplicationProblemJSONDefault = &dest
+
+	}
+
+	return response, nil
+}
+
 // ServerInterface represents all server handlers.
 type ServerInterface interface {
 
 	// (GET /v1/history)
 	GetHistory(w http.ResponseWriter, r *http.Request, params GetHistoryParams)
 
+	// (GET /v1/interference)
+	ListInterference(w http.ResponseWriter, r *http.Request)
+
 	// (GET /v1/jobs)
 	ListJobs(w http.ResponseWriter, r *http.Request)
 
@@ -2210,6 +2667,9 @@
 
 	// (GET /v1/workspaces)
 	ListWorkspaces(w http.ResponseWriter, r *http.Request)
+
+	// (GET /v1/zones)
+	ListZones(w http.ResponseWriter, r *http.Request)
 }
 
 // ServerInterfaceWrapper converts contexts to parameters.
@@ -2254,6 +2714,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// ListInterference operation middleware
+func (siw *ServerInterfaceWrapper) ListInterference(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.ListInterference(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 // ListJobs operation middleware
 func (siw *ServerInterfaceWrapper) ListJobs(w http.ResponseWriter, r *http.Request) {
 
@@ -2486,6 +2960,20 @@
 	handler.ServeHTTP(w, r)
 }
 
+// ListZones operation middleware
+func (siw *ServerInterfaceWrapper) ListZones(w http.ResponseWriter, r *http.Request) {
+
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		siw.Handler.ListZones(w, r)
+	}))
+
+	for _, middleware := range siw.HandlerMiddlewares {
+		handler = middleware(handler)
+	}
+
+	handler.ServeHTTP(w, r)
+}
+
 type UnescapedCookieParamError struct {
 	ParamName string
 	Err       error
@@ -2617,6 +3105,10 @@
 
 	r.HandleFunc(options.BaseURL+"/v1/workspaces", wrapper.ListWorkspaces).Methods(http.MethodGet)
 
+	r.HandleFunc(options.BaseURL+"/v1/zones", wrapper.ListZones).Methods(http.MethodGet)
+
+	r.HandleFunc(options.BaseURL+"/v1/interference", wrapper.ListInterference).Methods(http.MethodGet)
+
 	r.HandleFunc(options.BaseURL+"/v1/targets", wrapper.ListTargets).Methods(http.MethodGet)
 
 	r.HandleFunc(options.BaseURL+"/v1/targets/{targetId}/drain", wrapper.DrainTarget).Methods(http.MethodPost)
@@ -2663,6 +3155,44 @@
 	return err
 }
 
+type ListInterferenceRequestObject struct {
+}
+
+type ListInterferenceResponseObject interface {
+	VisitListInterferenceResponse(w http.ResponseWriter) error
+}
+
+type ListInterference200JSONResponse InterferenceList
+
+func (response ListInterference200JSONResponse) VisitListInterferenceResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
+type ListInterferencedefaultApplicationProblemPlusJSONResponse struct {
+	Body       externalRef0.Problem
+	StatusCode int
+}
+
+func (response ListInterferencedefaultApplicationProblemPlusJSONResponse) VisitListInterferenceResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response.Body); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(response.StatusCode)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 type ListJobsRequestObject struct {
 }
 
@@ -3051,12 +3581,53 @@
 	return err
 }
 
+type ListZonesRequestObject struct {
+}
+
+type ListZonesResponseObject interface {
+	VisitListZonesResponse(w http.ResponseWriter) error
+}
+
+type ListZones200JSONResponse ZoneList
+
+func (response ListZones200JSONResponse) VisitListZonesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(200)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
+type ListZonesdefaultApplicationProblemPlusJSONResponse struct {
+	Body       externalRef0.Problem
+	StatusCode int
+}
+
+func (response ListZonesdefaultApplicationProblemPlusJSONResponse) VisitListZonesResponse(w http.ResponseWriter) error {
+
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(response.Body); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(response.StatusCode)
+	_, err := buf.WriteTo(w)
+	return err
+}
+
 // StrictServerInterface represents all server handlers.
 type StrictServerInterface interface {
 
 	// (GET /v1/history)
 	GetHistory(ctx context.Context, request GetHistoryRequestObject) (GetHistoryResponseObject, error)
 
+	// (GET /v1/interference)
+	ListInterference(ctx context.Context, request ListInterferenceRequestObject) (ListInterferenceResponseObject, error)
+
 	// (GET /v1/jobs)
 	ListJobs(ctx context.Context, request ListJobsRequestObject) (ListJobsResponseObject, error)
 
@@ -3086,6 +3657,9 @@
 
 	// (GET /v1/workspaces)
 	ListWorkspaces(ctx context.Context, request ListWorkspacesRequestObject) (ListWorkspacesResponseObject, error)
+
+	// (GET /v1/zones)
+	ListZones(ctx context.Context, request ListZonesRequestObject) (ListZonesResponseObject, error)
 }
 
 type StrictHandlerFunc func(ctx context.Context, w http.ResponseWriter, r *http.Request, request any) (any, error)
@@ -3153,6 +3727,30 @@
 	}
 }
 
+// ListInterference operation middleware
+func (sh *strictHandler) ListInterference(w http.ResponseWriter, r *http.Request) {
+	var request ListInterferenceRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.ListInterference(ctx, request.(ListInterferenceRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "ListInterference")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(ListInterferenceResponseObject); ok {
+		if err := validResponse.VisitListInterferenceResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
+
 // ListJobs operation middleware
 func (sh *strictHandler) ListJobs(w http.ResponseWriter, r *http.Request) {
 	var request ListJobsRequestObject
@@ -3411,3 +4009,27 @@
 		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
 	}
 }
+
+// ListZones operation middleware
+func (sh *strictHandler) ListZones(w http.ResponseWriter, r *http.Request) {
+	var request ListZonesRequestObject
+
+	handler := func(ctx context.Context, w http.ResponseWriter, r *http.Request, request interface{}) (interface{}, error) {
+		return sh.ssi.ListZones(ctx, request.(ListZonesRequestObject))
+	}
+	for _, middleware := range sh.middlewares {
+		handler = middleware(handler, "ListZones")
+	}
+
+	response, err := handler(r.Context(), w, r, request)
+
+	if err != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, err)
+	} else if validResponse, ok := response.(ListZonesResponseObject); ok {
+		if err := validResponse.VisitListZonesResponse(w); err != nil {
+			sh.options.ResponseErrorHandlerFunc(w, r, err)
+		}
+	} else if response != nil {
+		sh.options.ResponseErrorHandlerFunc(w, r, fmt.Errorf("unexpected response type: %T", response))
+	}
+}
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -42,7 +42,7 @@
 		ba := te.batch()
 		te.mu.Unlock()
 		planned := te.Clock.Now() - started
-		if !te.commit(ba) {
+		if !te.commit(ba, false) {
 			return
 		}
 		te.lastRound = roundTiming{plan: planned, record: te.Clock.Now() - started - planned, jobs: len(ba.changes)}
@@ -77,6 +77,7 @@
 	}
 	te.expireLeases(now)
 	te.evacuate(now)
+	te.refreshPairs(now)
 	in := te.plannerInput(po, now)
 	te.advise(in, po, now)
 	pl := te.planner.Plan(in)
@@ -88,6 +89,7 @@
 	for _, st := range pl.Starts {
 		te.applyStart(st, now)
 	}
+	te.partPair(in, pl, now)
 }
 
 // expireLeases completes the runs whose leases have certainly expired, and forgets workers that
@@ -105,6 +107,7 @@
 		}
 		if !wo.listed && len(wo.runs)+len(wo.orphans) == 0 && wo.applied == wo.acknowledged && !wo.polling {
 			te.Workers.Forget(wo.report.Address)
+			te.gauger.Forget(wo.id)
 			delete(te.workers, wo.id)
 		}
 	}
@@ -159,6 +162,7 @@
 		}
 		in.Jobs = append(in.Jobs, en.job)
 	}
+	in.Costs = append(in.Costs, te.separationCosts()...)
 	in.Demand = te.urgentDemand(in)
 	in.Starts = te.startLimit()
 	for _, wo := range te.workers {
@@ -213,9 +217,10 @@
 	pw := planner.Worker{
 		ID: wo.id, Incarnation: wo.report.Incarnation, Pool: wo.report.Pool, Zone: wo.report.Zone, Rack: wo.report.Rack,
 		Labels: wo.report.Labels, Capacity: wo.report.Capacity,
-		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance,
-		Suspect: now < wo.suspectUntil,
+		Usable:  wo.listed && wo.contacted && !wo.report.Draining && wo.failures < unusableAfterFailures && now >= wo.blockedUntil && !wo.inMaintenance && !te.evacuated(wo.report.Zone),
+		Suspect: now < wo.suspectUntil || te.cold(wo, now),
 	}
+	te.addSpeed(&pw, now)
 	for key := range wo.orphans {
 		if en := te.jobs[key.Job]; en != nil {
 			if st, _ := en.job.Task(key); st != nil {
@@ -238,8 +243,11 @@
 	passes, used := te.passes, clock.ProcessorTime()-te.processorTime
 	te.passes, te.processorTime = passTiming{}, te.processorTime+used
 	var free workload.Resources
-	usable := 0
+	usable, uneven := 0, 0
 	for _, wo := range in.Workers {
+		if wo.Factor != 1 {
+			uneven++
+		}
 		if wo.Usable {
 			usable++
 			free = free.Add(wo.Capacity)
@@ -266,7 +274,7 @@
 	}
 	kept, keptSeconds := te.losses.Held()
 	te.log.Info().Int("jobs", len(in.Jobs)).Int("waiting", waiting).Int("blocked", blocked).Int64("wanted", int64(wanted)).Int("held", held).
-		Int("workers", len(in.Workers)).Int("usable", usable).Int64("freeAccelerators", int64(free.Accelerators)).
+		Int("workers", len(in.Workers)).Int("usable", usable).Int("uneven", uneven).Int64("freeAccelerators", int64(free.Accelerators)).
 		Int64("freeCores", int64(free.CPU/1000)).Int64("freeMebibytes", int64(free.Memory)).
 		Int64("keptAccelerators", int64(kept)).Int64("keptAcceleratorSeconds", int64(keptSeconds)).Int64("lostCoreSeconds", int64(te.losses.TotalLost())).
 		Int("starts", len(pl.Starts)).Int("stops", len(pl.Stops)).
@@ -291,7 +299,8 @@
 		key := st.Job.Key(st.Stage, pl.Index)
 		te.workers[pl.Worker].runs[key] = &placement{run: run, incarnation: pl.Incarnation, dueSince: now, speed: throttler.FullSpeed}
 		te.log.Info().Str("task", key.String()).Int64("run", int64(run)).Str("worker", string(pl.Worker)).
-			Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
+			Float64("factor", te.factorOf(te.workers[pl.Worker], now)).Int64("waitedMillis", int64(now-te.jobs[st.Job.ID].learnedAt)).Msg("runScheduled")
+		te.countFactor(te.workers[pl.Worker], now)
 	}
 	if run == 1 {
 		te.Metrics.Observe("wait", now-te.jobs[st.Job.ID].learnedAt)
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/accountant"
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/pacer"
 	"github.com/wagtailcroft/wagtailcroft/decisions/predictor"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -75,6 +76,9 @@
 		formers      []ledger.FormerLeader
 		// lost is set once, before the term ends, when another instance may be the leader.
 		lost atomic.Bool
+		// released means that leadership was released together with the last changes. Only flush and what
+		// follows it use it.
+		released bool
 
 		// mu guards the fields below. It is not held during a call to another process.
 		mu locker.Mutex
@@ -89,6 +93,9 @@
 		advice *adviser.Adviser
 		// predictor keeps statistics of recent run times and of the demand of urgent work.
 		predictor *predictor.Predictor
+		// gauger knows the speeds of the workers.
+		gauger       *gauger.Gauger
+		interference interference
 		// pacer limits the starts that are planned and not answered; outstanding is their number in the
 		// last round.
 		pacer       *pacer.Pacer
@@ -188,6 +195,8 @@
 		workers:         map[identifier.Worker]*worker{},
 		advice:          adviser.New(),
 		predictor:       predictor.New(),
+		gauger:          gauger.New(),
+		interference:    newInterference(),
 		pacer:           pacer.New(co.op.GangTimeout / pacePerGangTimeout),
 		earlyCancels:    map[identifier.Job]clock.Millis{},
 		silences:        map[string]*silence{},
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -3,11 +3,15 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
+	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
+	"github.com/wagtailcroft/wagtailcroft/decisions/separator"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -26,6 +30,8 @@
 	// WorkerUnresponsive means that it has not answered the last poll, has not answered any
 	// poll yet, or is no longer listed by the platform.
 	WorkerUnresponsive
+	// WorkerEvacuated means that it gets none because its zone is evacuated.
+	WorkerEvacuated
 )
 
 type (
@@ -42,6 +48,13 @@
 		Workers []WorkerView
 		// Workspaces are those of the configuration in force.
 		Workspaces []policy.Workspace
+		// Evacuations holds the evacuated zones.
+		Evacuations fleet.Evacuations
+		// Pairs are those of which there is evidence, Named those that operators have named, and Judgments
+		// tell of workers whose tasks are slow.
+		Pairs     []separator.Pair
+		Named     separator.Names
+		Judgments []separator.Judgment
 	}
 
 	// JobView is a job and what it waits for.
@@ -61,6 +74,9 @@
 		State  WorkerState
 		Free   workload.Resources
 		Tasks  []workload.TaskKey
+		// Speed is what is known of the worker's speed, and SpeedAge the time since a run last told of it.
+		Speed    gauger.Gauge
+		SpeedAge clock.Millis
 	}
 )
 
@@ -78,7 +94,11 @@
 		return View{}, false
 	}
 	now := te.Clock.Now()
-	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces)}
+	vi := View{Fence: te.fence, Workspaces: slices.Clone(po.Workspaces), Named: te.op.NamedPairs}
+	if te.op.MaxEvacuationAge > 0 {
+		vi.Evacuations = te.Policies.Evacuations()
+	}
+	vi.Pairs, vi.Judgments = te.interference.separator.Pairs(), te.interference.separator.Judgments()
 	for _, wo := range te.workers {
 		vi.Workers = append(vi.Workers, te.viewWorker(wo, now))
 	}
@@ -92,11 +112,16 @@
 func (te *term) viewWorker(wo *worker, now clock.Millis) WorkerView {
 	view := WorkerView{Report: wo.report, Free: wo.report.Capacity}
 	view.Report.ID = wo.id
+	if view.Speed = te.gauger.Gauge(wo.id, wo.report.Incarnation, now); view.Speed.Runs > 0 {
+		view.SpeedAge = now - view.Speed.At
+	}
 	switch {
 	case wo.report.Draining || wo.inMaintenance:
 		view.State = WorkerDraining
 	case !wo.contacted || !wo.listed || wo.failures >= unusableAfterFailures:
 		view.State = WorkerUnresponsive
+	case te.evacuated(wo.report.Zone):
+		view.State = WorkerEvacuated
 	case now < wo.blockedUntil:
 		view.State = WorkerQuarantined
 	}
@@ -166,11 +191,11 @@
 	case !jo.Ready(st):
 		return fmt.Sprintf("%s: waiting for steps %v to complete", name, step.After)
 	case waiting == 0:
-		return fmt.Sprintf("%s: %d tasks running, %d done", name, held, done)
+		return fmt.Sprintf("%s: %d tasks running, %d done%s", name, held, done, te.explainSpeed(jo, st, qu))
 	case qu.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks waiting for the advice service to approve workers", name, waiting)
 	}
-	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool)+te.describeHolders(pool))
+	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool)+te.describeHolders(pool)+te.describeEvacuations(step, pool))
 }
 
 // describeCapacity describes the resources that each task of a step requests, and those that
@@ -199,3 +224,23 @@
 	return fmt.Sprintf("%s: each requests %d millicores, %d MiB and %d accelerators; %d of %d usable workers have enough free; %d accelerators are free, at most %d on one worker",
 		wanted, step.Request.CPU, step.Request.Memory, step.Request.Accelerators, fitting, usable, free, largest)
 }
+
+// describeEvacuations names the evacuated zones with workers of a pool, and what they would have free.
+func (te *term) describeEvacuations(step *workload.Step, pool []WorkerView) string {
+	workers, fitting := map[identifier.Zone]int{}, map[identifier.Zone]int{}
+	for _, wo := range pool {
+		if wo.State != WorkerEvacuated {
+			continue
+		}
+		workers[wo.Report.Zone]++
+		if wo.Free.Fits(step.Reserved()) {
+			fitting[wo.Report.Zone]++
+		}
+	}
+	var text strings.Builder
+	for _, zone := range slices.Sorted(maps.Keys(workers)) {
+		fmt.Fprintf(&text, "; zone %s is evacuated by row version %d: its %d workers get no new runs, %d of them have enough free",
+			zone, te.Policies.Evacuations()[zone], workers[zone], fitting[zone])
+	}
+	return text.String()
+}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -47,6 +47,8 @@
 		listed bool
 		// reportedAt is when this leader last read an entry of the incarnation in the report.
 		reportedAt clock.Millis
+		// coldUntil is when the worker is no longer slow.
+		coldUntil clock.Millis
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
 
@@ -95,6 +97,8 @@
 		// last evaluated.
 		mixedLoad   bool
 		throttledAt clock.Millis
+		// spared is how many times in a row harmless best-effort tasks were spared.
+		spared int
 		// inMaintenance means that the worker is being drained for maintenance of its machine.
 		inMaintenance bool
 		// suspectUntil is the end of the time for which other workers are preferred, after a run
@@ -145,12 +149,17 @@
 		// means that a command to change it is in progress.
 		speed      meter.Percent
 		throttling bool
+		// speedAt is when the speed last changed, and watch what polls told of the run.
+		speedAt clock.Millis
+		watch   watch
 		// tailLatency is the tail latency that the run last reported.
 		tailLatency clock.Millis
 		// cause is why this leader stops the run; empty means that it does not.
 		cause accountant.Cause
 		// progress is what the worker has reported of the run's progress.
 		progress predictor.Progress
+		// origin is set if the run is inherited and its worker has reported its progress.
+		origin origin
 		// stoppedAt is when the worker accepted a stop command; 0 means not yet.
 		stoppedAt clock.Millis
 	}
@@ -249,6 +258,7 @@
 		te.noteSilence(wo, false, wo.clockAt, wo.lastSign(), now) // it may have restarted before its silence was noticed
 	}
 	wo.report, wo.reportedAt = re, now
+	wo.coldUntil = now + re.Cold
 	if re.Draining {
 		wo.leavesAt = now + re.Remaining
 	}
@@ -334,7 +344,11 @@
 	te.Metrics.Count("ends", co.Outcome.String())
 	te.trackFailures(wo, key.Job, co.Outcome)
 	if step := en.job.StepOf(st); co.Outcome == workload.OutcomeDone && pl != nil && pl.startedAt > 0 && !pl.resumed && !step.LongRunning {
-		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.Clock.Now()-pl.startedAt)
+		now := te.Clock.Now()
+		if pl.run == co.Run {
+			te.gaugeCompletion(wo, key, pl, now)
+		}
+		te.predictor.RecordRun(en.job.Queue, step.Estimate, te.normalRunTime(en.job, st, wo, now-pl.startedAt, now))
 	}
 	cause, lost := te.accountEnd(en.job, en.job.StepOf(st), ta, pl, co)
 	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("cause", string(cause)).Int64("lostCoreSeconds", lost).Str("how", co.Outcome.String()).Str("proof", string(proof)).
--- a/wagtailcroftd/follower/follower.go
+++ b/wagtailcroftd/follower/follower.go
@@ -12,14 +12,22 @@
 	"github.com/wagtailcroft/wagtailcroft/decisions/fleet"
 	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/locker"
 	"github.com/wagtailcroft/wagtailcroft/shared/rowstore"
 	"github.com/wagtailcroft/wagtailcroft/wagtailcroftd/tailer"
 )
 
-// followWait is how long the store may wait for a change before it confirms that there is none.
-// It is well below the time for which an unconfirmed configuration may be used.
-const followWait = 1000 * clock.Millis(1)
+const (
+	// followWait is how long the store may wait for a change before it confirms that there is none.
+	// It is well below the time for which an unconfirmed configuration may be used. minFollowWait bounds
+	// the calls.
+	followWait    = 1000 * clock.Millis(1)
+	minFollowWait = 100 * clock.Millis(1)
+	// confirmationsPerAge is how often the table is confirmed at least within Source.MaxAge: the age of a
+	// confirmation reaches twice the wait.
+	confirmationsPerAge = 4
+)
 
 type (
 	// Source is the key of the configuration row and the functions that decode the rows of its
@@ -30,6 +38,20 @@
 		// DecodeWave decodes a maintenance wave. Its second result is false for a row that is
 		// not a maintenance wave.
 		DecodeWave func(row rowstore.Row) (fleet.MaintenanceWave, bool, error)
+		// DecodeEvacuation decodes the request to evacuate an availability zone. Its second result is
+		// false for a row that is no such request. It is nil where no zone is evacuated.
+		DecodeEvacuation func(row rowstore.Row) (identifier.Zone, bool, error)
+		// MaxAge is how old a confirmation of the evacuations may be; 0 means that it does not matter.
+		MaxAge clock.Millis
+		// Zones are the availability zones of the system; none means that they are not known.
+		Zones []identifier.Zone
+		// Metrics counts the evacuations.
+		Metrics Metrics
+	}
+
+	// Metrics counts events.
+	Metrics interface {
+		Count(name, label string)
 	}
 
 	// Follower holds the newest configuration. It never returns to an older version.
@@ -46,6 +68,8 @@
 		confirmedAt clock.Millis
 		// waves holds the maintenance waves by the name of their row.
 		waves map[string]fleet.MaintenanceWave
+		// evacuations holds the evacuated zones. A map is never changed once it is here.
+		evacuations fleet.Evacuations
 	}
 
 	// handler passes the rows of the tailer on to the follower.
@@ -54,12 +78,20 @@
 
 // New returns a follower that reads no configuration until Run.
 func New(so Source, st tailer.Store, cl clock.Clock, log zerolog.Logger) *Follower {
-	return &Follower{waves: map[string]fleet.MaintenanceWave{}, source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
+	return &Follower{evacuations: fleet.Evacuations{}, waves: map[string]fleet.MaintenanceWave{}, source: so, store: st, cl: cl, log: log, mu: locker.New(locker.RankPolicy)}
 }
 
 // Run follows the configuration until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
-	tailer.New(fo.store, fo.source.Key.Table, tailer.Timing{Wait: followWait}, fo.cl, fo.log).Run(ctx, handler{fo})
+	tailer.New(fo.store, fo.source.Key.Table, tailer.Timing{Wait: fo.source.wait()}, fo.cl, fo.log).Run(ctx, handler{fo})
+}
+
+// wait returns how long the store may wait for a change.
+func (so Source) wait() clock.Millis {
+	if so.MaxAge == 0 {
+		return followWait
+	}
+	return min(max(so.MaxAge/confirmationsPerAge, minFollowWait), followWait)
 }
 
 // Current returns the newest configuration, or nil if none has been read yet.
@@ -78,7 +110,10 @@
 }
 
 // Snapshot applies all rows of the table.
-func (ha handler) Snapshot(rows []rowstore.Row) { ha.Changed(rows) }
+func (ha handler) Snapshot(rows []rowstore.Row) {
+	ha.fo.dropEvacuations(rows)
+	ha.Changed(rows)
+}
 
 // Changed applies changed rows. Older versions of the configuration are ignored.
 func (ha handler) Changed(rows []rowstore.Row) {
@@ -86,7 +121,8 @@
 		switch {
 		case ro.Key == ha.fo.source.Key && ro.Version > 0:
 			ha.fo.Apply(ro)
-		case ro.Key != ha.fo.source.Key:
+		case ro.Key == ha.fo.source.Key || ha.fo.applyEvacuation(ro):
+		default:
 			ha.fo.applyWave(ro)
 		}
 	}
--- a/wagtailcroftd/overseer/overview.go
+++ b/wagtailcroftd/overseer/overview.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"math"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -16,13 +17,14 @@
 	controller.WorkerDraining:     operator.TargetViewStateLeaving,
 	controller.WorkerQuarantined:  operator.TargetViewStateQuarantined,
 	controller.WorkerUnresponsive: operator.TargetViewStateSilent,
+	controller.WorkerEvacuated:    operator.TargetViewStateEvacuated,
 }
 
 // newOverview converts the controller's view to a message.
 func newOverview(in identifier.Instance, view controller.View) operator.Overview {
 	snapshot := operator.Overview{
 		Deciding: true, Instance: in, Fence: view.Fence,
-		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view),
+		Jobs: []operator.JobView{}, Targets: []operator.TargetView{}, Workspaces: workspaceViews(view), Zones: zoneViews(view), Interference: interferenceList(view),
 	}
 	for i := range view.Jobs {
 		snapshot.Jobs = append(snapshot.Jobs, jobView(&view.Jobs[i]))
@@ -82,6 +84,7 @@
 		Accelerators: wo.Report.Capacity.Accelerators, State: targetStates[wo.State], Pool: string(wo.Report.Pool),
 		FreeAccelerators: wo.Free.Accelerators, FreeMilliCores: int64(wo.Free.CPU), Tasks: []string{},
 	}
+	out.RunTimePercent, out.SpeedRuns, out.SpeedAgeMillis = int(math.Round(100*wo.Speed.Factor)), wo.Speed.Runs, wo.SpeedAge
 	for _, key := range wo.Tasks {
 		out.Tasks = append(out.Tasks, key.String())
 	}
@@ -105,6 +108,7 @@
 		}
 		list = append(list, out)
 	}
+	addUnreclaimable(list, view)
 	return list
 }
 
