--- a/bench/simulator/load.go
+++ b/bench/simulator/load.go
@@ -3,6 +3,7 @@
 package simulator
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
@@ -25,6 +26,8 @@
 		MaxAttempts int
 		// PerSecond is the rate of arrival in all zones together.
 		PerSecond float64
+		// Filled is the number of jobs that arrive at the beginning of the day.
+		Filled int
 		// Credit is the credit for a job of mean work that completes before its deadline, and
 		// LateCredit the credit for one that completes later.
 		Credit, LateCredit float64
@@ -97,6 +100,10 @@
 		CrossRackFactor float64
 		// WastePenalty is the penalty for a core-second of lost work, in credit.
 		WastePenalty float64
+		// CheckpointInterval is the interval between two checkpoints of a run. If it is 0, a stopped run has
+		// saved half of what it did.
+		CheckpointInterval clock.Millis
+		Departures         []Departure
 	}
 )
 
@@ -135,6 +142,21 @@
 	}
 }
 
+// WorkerSpeeds returns the factor by which each worker multiplies run times.
+func (lo Load) WorkerSpeeds() map[identifier.Worker]float64 {
+	speeds := map[identifier.Worker]float64{}
+	for zone := range lo.Zones {
+		for i := range lo.WorkersPerZone {
+			speeds[workerID(zone, i)] = lo.Speeds[(len(speeds)+1)%len(lo.Speeds)]
+		}
+	}
+	return speeds
+}
+
+func workerID(zone, i int) identifier.Worker {
+	return identifier.Worker(fmt.Sprintf("w%d-%02d", zone, i))
+}
+
 // Scaled returns the load for a deployment of about 350 workers, with more and wider jobs.
 func (lo Load) Scaled() Load {
 	lo.Name += " grown"
--- a/decisions/planner/hold.go
+++ b/decisions/planner/hold.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
+	"github.com/wagtailcroft/wagtailcroft/shared/meter"
 )
 
 const (
@@ -21,6 +22,10 @@
 	if fits := maxFitOnRack(slots, ca.step.Reserved()); ca.step.SameRack && fits >= count {
 		groups = racks(slots)
 	}
+	if ro.tu.HoldByEnd {
+		ro.holdUntilEnds(ca, groups, count)
+		return
+	}
 	var best []*slot
 	least := 0.0
 	for _, group := range groups {
@@ -96,3 +101,14 @@
 	}
 	return most
 }
+
+// heldAccelerators returns how many accelerators of held slots are free.
+func (ro *round) heldAccelerators() meter.Accelerators {
+	var held meter.Accelerators
+	for _, sl := range ro.slots {
+		if sl.held {
+			held += max(sl.free.Accelerators, 0)
+		}
+	}
+	return held
+}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -48,6 +48,8 @@
 		preemptionSearches int
 		// urgentInUse is the number of accelerators of each pool that urgent work uses.
 		urgentInUse map[identifier.Pool]meter.Accelerators
+		// losses holds the loss of each unit of which it was computed, where it is weighed.
+		losses map[unit]float64
 		// accelerators is the number of accelerators of the usable slots of each pool.
 		accelerators map[identifier.Pool]meter.Accelerators
 		// freeCounts holds, for each pool, the number of usable slots by the number of
@@ -78,6 +80,9 @@
 		runs []run
 		// held means that the slot takes no other work until a gang fits.
 		held bool
+		// heldFor is the time until the gang is expected to start; until then work may use the slot that ends
+		// before. 0 means that none may.
+		heldFor clock.Millis
 		// planned is the number of tasks of each stage that the plan places here.
 		planned map[*workload.Stage]int
 		// occupied is the number of runs here and of tasks that the plan places here, and unproven that of
@@ -97,7 +102,7 @@
 )
 
 func newRound(tu Tuning, in Input) *round {
-	ro := &round{tu: tu, in: in, urgentInUse: map[identifier.Pool]meter.Accelerators{}, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coveredJobs(in), freeCounts: map[identifier.Pool][]int{}, accelerators: map[identifier.Pool]meter.Accelerators{}}
+	ro := &round{tu: tu, in: in, urgentInUse: map[identifier.Pool]meter.Accelerators{}, byID: make(map[identifier.Worker]*slot, len(in.Workers)), covered: coveredJobs(in), freeCounts: map[identifier.Pool][]int{}, losses: map[unit]float64{}, accelerators: map[identifier.Pool]meter.Accelerators{}}
 	for i := range in.Workers {
 		wo := &in.Workers[i]
 		sl := &slot{worker: wo, free: wo.Capacity, freeSoon: wo.Capacity}
@@ -284,9 +289,10 @@
 		return true
 	}
 	pool := ca.queue.Pool
-	limit := ro.tu.MaxHeadroom * float64(ro.accelerators[pool])
+	deviations, most := ro.headroomOf(ca)
+	limit := most * float64(ro.accelerators[pool])
 	de := ro.in.Demand[pool]
-	headroom := min(de.Mean+ro.tu.HeadroomDeviations*de.Deviation-float64(ro.urgentInUse[pool]), limit)
+	headroom := min(de.Mean+deviations*de.Deviation-float64(ro.urgentInUse[pool]), limit)
 	return float64(ro.freeAccelerators(pool))-float64(count)*float64(ca.step.Request.Accelerators) >= headroom
 }
 
--- a/wagtailcroftd/controller/controller.go
+++ b/wagtailcroftd/controller/controller.go
@@ -86,6 +86,7 @@
 	// Metrics counts events and records durations.
 	Metrics interface {
 		Count(name, label string)
+		Add(name, label string, more int64)
 		Observe(name string, d clock.Millis)
 	}
 
@@ -172,7 +173,7 @@
 
 // New returns a controller that does nothing until Run is called.
 func New(de Dependencies, op Options) *Controller {
-	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Completion), mu: locker.New(locker.RankMembers)}
+	return &Controller{Dependencies: de, op: op, planner: planner.New(planner.Contention), mu: locker.New(locker.RankMembers)}
 }
 
 // Leader reads from the store which instance is the leader; an empty instance means that there is
