Take no speed from gang members beside an image that disturbs them

Change: gaugedTask leaves out a gang member beside a task of an image that is known to disturb its own. Result: go test -race of controller and of the program pass; without known pairs nothing changes.

--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -92,7 +92,7 @@
 		return nil, nil, nil
 	}
 	step := en.job.StepOf(st)
-	if step.LongRunning || step.BestEffort || step.DataRack != "" && step.DataRack != wo.report.Rack || step.SameRack && te.racksOf(st) > 1 {
+	if step.LongRunning || step.BestEffort || te.disturbedMember(wo, key, step) || step.DataRack != "" && step.DataRack != wo.report.Rack || step.SameRack && te.racksOf(st) > 1 {
 		return nil, nil, nil
 	}
 	return en.job, st, ta
