Replace words outside the glossary in comments and names

Change: comments of the new packages say estimate, measure and show; the field told of a worker is answeredAs. The log field told, which leaves the process, stays. Result: no behaviour changes; go test of controller and of the program, and go vet, pass.

--- a/bench/simulator/knowledge.go
+++ b/bench/simulator/knowledge.go
@@ -17,9 +17,9 @@
 
 	// KnowsNothing means that all workers look alike.
 	KnowsNothing Knowledge = 0
-	// Learns means that speeds are learned from runs, as in package controller.
+	// Learns means that speeds are estimated from runs, as in package controller.
 	Learns Knowledge = 1
-	// KnowsAll means that all speeds are known from the start, which bounds what can be learned.
+	// KnowsAll means that all speeds are known from the start, which bounds what estimates can gain.
 	KnowsAll Knowledge = 2
 )
 
@@ -96,7 +96,7 @@
 	}
 }
 
-// gaugeEnd learns from a run that is done. The members of a gang end together.
+// gaugeEnd records a run that is done. The members of a gang end together.
 func (da *day) gaugeEnd(ar *arrival, key workload.TaskKey, ru *run, ran clock.Millis) {
 	if step := &ar.job.Steps[key.Step]; da.load.Knowledge != Learns || step.Gang && step.Count > 1 {
 		return
--- a/decisions/examiner/examiner.go
+++ b/decisions/examiner/examiner.go
@@ -220,7 +220,7 @@
 	}
 }
 
-// workspaces finds workspaces whose callers cannot be told apart or cannot call.
+// workspaces finds workspaces whose callers cannot be distinguished or cannot call.
 func (ex *examination) workspaces() {
 	names, owners := map[identifier.Workspace]bool{}, map[string]identifier.Workspace{}
 	for i, ws := range ex.po.Workspaces {
--- a/decisions/gauger/estimate.go
+++ b/decisions/gauger/estimate.go
@@ -82,7 +82,7 @@
 	return ev.compared >= minCompared && ev.product > minEvidence*math.Sqrt(ev.square) && ev.product > minSlope*ev.predicted
 }
 
-// estimate returns what samples tell of a worker's factor. Runs that lie far from the others count less, and
+// estimate returns a worker's factor by its samples. Runs that lie far from the others count less, and
 // few runs leave it near the prior.
 func estimate(prior belief, samples []sample) belief {
 	var values, variances [maxSamples]float64
--- a/decisions/gauger/gauger.go
+++ b/decisions/gauger/gauger.go
@@ -1,4 +1,4 @@
-// Package gauger learns how fast each worker runs tasks, from finished runs and from the progress of runs
+// Package gauger estimates how fast each worker runs tasks, from finished runs and from the progress of runs
 // that go on. Workers are compared by runs of the same step, and by what runs of its queue and image
 // usually take.
 package gauger
@@ -17,10 +17,10 @@
 	maxSamples = 12
 	// spread is the standard deviation of the logarithm of the factors of workers of which nothing is known.
 	spread = 0.35
-	// minEffect is the logarithm of the smallest factor that is told apart from 1; it is below what lets an
+	// minEffect is the logarithm of the smallest factor that differs from 1; it is below what lets an
 	// objective of one and a half times the run time be missed.
 	minEffect = 0.1
-	// minElapsed and minPercent are the time and the progress from which on a run tells a speed.
+	// minElapsed and minPercent are the time and the progress from which on a run shows a speed.
 	minElapsed = 250 * clock.Millis(1)
 	minPercent = 4
 	// startError is the standard deviation of the time at which a run is known to have begun.
@@ -37,7 +37,7 @@
 	// minContradicted is the number of earlier runs that it takes to contradict them.
 	minContradicted = 3
 	// maxUncertainty is the variance of a step's usual run time up to which its runs are compared with what
-	// their workers promised.
+	// their workers let expect.
 	maxUncertainty = spread * spread / 2
 )
 
@@ -59,7 +59,7 @@
 		Worker      identifier.Worker
 		Incarnation workload.Incarnation
 		// Percent is the progress since the start. It is 100 if the run is done; a member of a gang that
-		// waits for the others tells nothing at 100.
+		// waits for the others shows nothing at 100.
 		Percent meter.Percent
 		// Elapsed is the time since the start.
 		Elapsed clock.Millis
@@ -73,7 +73,7 @@
 		Factor float64
 		// Deviation is the standard deviation of the logarithm of the factor.
 		Deviation float64
-		// Runs is the number of runs on which the factor rests, and At is when the last of them told something.
+		// Runs is the number of runs on which the factor rests, and At is when the last of them was reported.
 		Runs int
 		At   clock.Millis
 	}
@@ -82,7 +82,7 @@
 	Gauger struct {
 		workers map[identifier.Worker]*record
 		kinds   *kinds
-		// evidence tells whether workers differ at all.
+		// evidence decides whether workers differ at all.
 		evidence evidence
 		// remembered is what a former gauger knew.
 		remembered map[Mark]belief
@@ -95,7 +95,7 @@
 		incarnation workload.Incarnation
 		// samples holds at most maxSamples runs, the oldest first.
 		samples []sample
-		// known is what the samples and prior tell together, and prior what is assumed without them.
+		// known is the estimate from the samples and prior, and prior what is assumed without them.
 		known, prior belief
 		at           clock.Millis
 		// usual is what was known before the worker turned. It is known again at turnedUntil, which is 0 if the
@@ -110,7 +110,7 @@
 	// belief is the mean and the variance of the logarithm of a factor.
 	belief struct{ mean, variance float64 }
 
-	// sample is what one run tells of its worker.
+	// sample is the measurement of a worker by one run.
 	sample struct {
 		step *step
 		task workload.TaskKey
@@ -157,7 +157,7 @@
 	return re
 }
 
-// measured returns what a run tells. A percentage is rounded down.
+// measured returns the sample of a run. A percentage is rounded down.
 func measured(ru Run, st *step) sample {
 	sa := sample{step: st, task: ru.Task, run: ru.Number, percent: ru.Percent, elapsed: ru.Elapsed}
 	begun := startError / float64(ru.Elapsed)
@@ -203,7 +203,7 @@
 	ga.update(re, now)
 }
 
-// refine replaces what a run has told by what it tells now.
+// refine replaces the sample of a run by a newer one.
 func (ga *Gauger) refine(re *record, i int, sa sample, now clock.Millis) {
 	old := &re.samples[i]
 	if total, turned := turnedPace(old, &sa); turned {
@@ -234,8 +234,8 @@
 	return math.Log(passed * 100 / max(done, 0.5)), slower || faster
 }
 
-// turn forgets what a worker told before its pace changed under a run. Its usual speed is kept for the
-// time when no more runs tell of the change.
+// turn drops the samples of a worker from before its pace changed under a run. Its usual speed is kept for the
+// time when no more runs show the change.
 func (ga *Gauger) turn(re *record, i int, total float64, sa sample, now clock.Millis) {
 	factor := re.known.mean + total - re.samples[i].total
 	re.leaveUsual(now)
@@ -329,7 +329,7 @@
 	return out
 }
 
-// untold returns what is known of a worker of which no run has told.
+// untold returns what is known of a worker without samples.
 func (ga *Gauger) untold(id identifier.Worker, incarnation workload.Incarnation) Gauge {
 	assumed, known := ga.before(id, incarnation)
 	if !known {
--- a/decisions/gauger/kinds.go
+++ b/decisions/gauger/kinds.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxKinds, maxSteps and maxRecent bound the kinds, the steps, and the steps that tell what is usual for
+	// maxKinds, maxSteps and maxRecent bound the kinds, the steps, and the steps that define what is usual for
 	// a kind.
 	maxKinds  = 256
 	maxSteps  = 1024
@@ -132,7 +132,7 @@
 }
 
 // usual returns the mean and the variance of the logarithm of a step's run time by the steps of its kind:
-// by their run times, or by these against the callers' estimates, whichever tells more.
+// by their run times, or by these against the callers' estimates, whichever varies less.
 func (kd *kind) usual(st *step) (mean, variance float64) {
 	if kd.count < minRecent {
 		return st.estimate, unknownDeviation * unknownDeviation
@@ -196,13 +196,13 @@
 // noise is the variance of a run's time against that of its step, beside what its worker makes of it.
 func (sa *sample) noise() float64 { return sa.step.kind.variance() + sa.variance }
 
-// factor returns what the sample tells of the logarithm of the worker's factor, and its variance.
+// factor returns the logarithm of the worker's factor by the sample, and its variance.
 func (sa *sample) factor() (value, variance float64) {
 	mean, variance := sa.step.expected(*sa)
 	return sa.total - mean, variance + sa.noise()
 }
 
-// contribute adds to the step what the run tells of it, given what is known of the worker.
+// contribute adds the run to the step, given what is known of the worker.
 func (sa *sample) contribute(of belief) {
 	sa.residual, sa.precision = sa.total-of.mean, 1/(of.variance+sa.noise())
 	sa.step.weight += sa.precision
--- a/decisions/gauger/memory.go
+++ b/decisions/gauger/memory.go
@@ -41,7 +41,7 @@
 	return Mark(sum.Sum32())
 }
 
-// Remember returns what another gauger should know of at most most workers, those that told last first. It is
+// Remember returns what another gauger should know of at most most workers, those measured last first. It is
 // empty as long as nothing shows that workers differ. Workers that have turned are remembered as usual.
 func (ga *Gauger) Remember(most int) []Memory {
 	if !ga.Uneven() {
@@ -70,7 +70,7 @@
 	return memories
 }
 
-// Restore takes in what another gauger remembered, as far as no run has told otherwise.
+// Restore takes in what another gauger remembered, as far as no run has been measured since.
 func (ga *Gauger) Restore(memories []Memory) {
 	if len(memories) == 0 {
 		return
@@ -84,7 +84,7 @@
 	}
 }
 
-// before returns what is assumed of a worker before any run has told of it.
+// before returns what is assumed of a worker before any run on it is measured.
 func (ga *Gauger) before(id identifier.Worker, incarnation workload.Incarnation) (assumed belief, known bool) {
 	if len(ga.remembered) > 0 {
 		if be, found := ga.remembered[markOf(id, incarnation)]; found {
--- a/decisions/planner/pace.go
+++ b/decisions/planner/pace.go
@@ -17,7 +17,7 @@
 	reserveMillis = workerMillis / 4
 	// maxPaces is the number of paces that are compared for a gang.
 	maxPaces = 4
-	// paceStep is the least ratio of two paces that are told apart.
+	// paceStep is the least ratio of two paces that are compared.
 	paceStep = 1.15
 )
 
--- a/decisions/predictor/progress.go
+++ b/decisions/predictor/progress.go
@@ -35,7 +35,7 @@
 func (pr *Progress) Done() bool { return pr.last >= wholeProgress }
 
 // Remaining returns the time until the run is expected to end at the pace that it had between its reports. It
-// reports false if they are too few to tell, or if the run goes on although its work is done.
+// reports false if they are too few, or if the run goes on although its work is done.
 func (pr *Progress) Remaining(now clock.Millis) (clock.Millis, bool) {
 	span, done := pr.lastAt-pr.firstAt, pr.last-pr.first
 	if span < minProgressSpan || done <= 0 || pr.Done() {
--- a/wagtailcroft/cmd_targets_list.go
+++ b/wagtailcroft/cmd_targets_list.go
@@ -65,7 +65,7 @@
 }
 
 // formatSpeed formats the run time of tasks on a worker against that on a normal one, on how many runs that
-// rests, and how old it is. It returns an empty string if no run has told of it.
+// rests, and how old it is. It returns an empty string without a measured run.
 func formatSpeed(target operator.TargetView) string {
 	if target.SpeedRuns == 0 {
 		return ""
--- a/wagtailcroftd/controller/acknowledge.go
+++ b/wagtailcroftd/controller/acknowledge.go
@@ -13,13 +13,13 @@
 	first := map[*worker]completionID{}
 	for _, en := range te.jobs {
 		for wo, id := range en.unrecorded {
-			if id.incarnation == wo.told && (first[wo].number == 0 || id.number < first[wo].number) {
+			if id.incarnation == wo.answeredAs && (first[wo].number == 0 || id.number < first[wo].number) {
 				first[wo] = id
 			}
 		}
 	}
 	for wo, last := range ba.completions {
-		if wo.told != last.incarnation {
+		if wo.answeredAs != last.incarnation {
 			continue
 		}
 		number := last.number
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -313,7 +313,7 @@
 	case err != nil && st.Clock == 0:
 		return false
 	}
-	if st.Clock > 0 && (st.Incarnation == 0 || st.Incarnation == wo.told) {
+	if st.Clock > 0 && (st.Incarnation == 0 || st.Incarnation == wo.answeredAs) {
 		wo.clock, wo.clockAt = st.Clock, now
 	}
 	return false
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -110,7 +110,7 @@
 	}
 	for _, wo := range te.workers {
 		if wo.applied > wo.recorded {
-			ba.completions[wo] = completionID{incarnation: wo.told, number: wo.applied}
+			ba.completions[wo] = completionID{incarnation: wo.answeredAs, number: wo.applied}
 		}
 	}
 	if counts := te.countPending(); te.loaded && now-te.countedAt >= countsInterval && !maps.Equal(counts, te.pendingCounts) {
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -183,7 +183,7 @@
 			wo.applied = cr.Number
 			te.completeRun(wo, cr.Task, cr.Completion, assessor.Listed)
 			if en := te.jobs[cr.Task.Job]; en != nil && en.dirty {
-				en.noteUnrecorded(wo, completionID{incarnation: wo.told, number: cr.Number})
+				en.noteUnrecorded(wo, completionID{incarnation: wo.answeredAs, number: cr.Number})
 				te.noteEnd(wo, cr.Task, cr.Completion)
 			}
 		}
@@ -193,7 +193,7 @@
 		listed[ru.Task] = ru.Run
 		te.applyRunning(wo, ru, now)
 	}
-	missing := te.judgeRuns(wo, listed, assessor.Answer{Incarnation: wo.told, SentAt: sent, Truncated: st.Truncated})
+	missing := te.judgeRuns(wo, listed, assessor.Answer{Incarnation: wo.answeredAs, SentAt: sent, Truncated: st.Truncated})
 	te.observeInterference(wo, st.Clock, now)
 	te.throttle(wo, now)
 	return missing || runs != len(wo.runs) || orphans != len(wo.orphans) || incarnation != wo.report.Incarnation
@@ -257,9 +257,9 @@
 		if verdict == assessor.Unknown {
 			continue
 		}
-		if pl.incarnation != wo.told && !verdict.Over() {
+		if pl.incarnation != wo.answeredAs && !verdict.Over() {
 			_, ta := te.jobs[key.Job].job.Task(key)
-			pl.incarnation, ta.Incarnation, pl.stoppedAt = wo.told, wo.told, 0
+			pl.incarnation, ta.Incarnation, pl.stoppedAt = wo.answeredAs, wo.answeredAs, 0
 		}
 		switch verdict {
 		case assessor.Unsettled:
--- a/wagtailcroftd/controller/remaining.go
+++ b/wagtailcroftd/controller/remaining.go
@@ -41,7 +41,7 @@
 }
 
 // remaining returns the time until a task has done its work: at the pace that its worker reports or, until it
-// has reported twice, by the run times of its queue. It returns 0 if neither tells.
+// has reported twice, by the run times of its queue. It returns 0 if neither is known.
 func (te *term) remaining(jo *workload.Job, st *workload.Stage, index int, now clock.Millis) clock.Millis {
 	step, ta := jo.StepOf(st), &st.Tasks[index]
 	if left := te.measuredRemaining(jo, st, index, now); left > 0 || ta.Checkpoint != "" || step.LongRunning {
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -38,7 +38,7 @@
 	percent meter.Percent
 }
 
-// gaugeProgress learns the speed of a worker from the progress of a run.
+// gaugeProgress measures the speed of a worker by the progress of a run.
 func (te *term) gaugeProgress(wo *worker, key workload.TaskKey, pl *placement, now clock.Millis) {
 	jo, st, ta := te.gaugedTask(wo, key, pl)
 	if ta == nil {
@@ -65,8 +65,8 @@
 	}
 }
 
-// gaugeCompletion learns the speed of a worker from a run that is done. The members of a gang end together,
-// at the pace of the slowest, so that their end tells nothing of each.
+// gaugeCompletion measures the speed of a worker by a run that is done. The members of a gang end together,
+// at the pace of the slowest, so that their end shows nothing of each.
 func (te *term) gaugeCompletion(wo *worker, key workload.TaskKey, pl *placement, now clock.Millis) {
 	jo, st, ta := te.gaugedTask(wo, key, pl)
 	if ta == nil || pl.inherited || jo.StepOf(st).Gang && len(st.Tasks) > 1 {
@@ -81,7 +81,7 @@
 // the task is nil.
 func (te *term) gaugedTask(wo *worker, key workload.TaskKey, pl *placement) (*workload.Job, *workload.Stage, *workload.Task) {
 	en := te.jobs[key.Job]
-	if en == nil || pl == nil || pl.startedAt == 0 || pl.resumed || pl.speed != throttler.FullSpeed || pl.incarnation != wo.told {
+	if en == nil || pl == nil || pl.startedAt == 0 || pl.resumed || pl.speed != throttler.FullSpeed || pl.incarnation != wo.answeredAs {
 		return nil, nil, nil
 	}
 	if pl.startedAt < wo.coldUntil || pl.tries != 1 && !pl.inherited || wo.mixedLoad || wo.failureStreakRuns > 0 {
@@ -100,7 +100,7 @@
 
 func (te *term) gaugedRun(wo *worker, key workload.TaskKey, jo *workload.Job, run meter.RunNumber) gauger.Run {
 	step := &jo.Steps[key.Step]
-	return gauger.Run{Task: key, Number: run, Queue: jo.Queue, Image: step.Image, Estimate: step.Estimate, Worker: wo.id, Incarnation: wo.told}
+	return gauger.Run{Task: key, Number: run, Queue: jo.Queue, Image: step.Image, Estimate: step.Estimate, Worker: wo.id, Incarnation: wo.answeredAs}
 }
 
 // beganAt returns when a run has begun to work: a gang does when all its members have started. It is 0 if
@@ -170,7 +170,7 @@
 	return clock.Millis(float64(ran) / factor)
 }
 
-// loadSpeeds reads what the former leader knew of the speeds of workers. Without it they are learned anew.
+// loadSpeeds reads what the former leader knew of the speeds of workers. Without it they are measured anew.
 func (te *term) loadSpeeds() {
 	rows, _, err := tailer.ReadTable(te.ctx, te.Store, te.Clock, recorder.Speeds)
 	if err != nil {
--- a/wagtailcroftd/controller/speeds_test.go
+++ b/wagtailcroftd/controller/speeds_test.go
@@ -34,7 +34,7 @@
 		"resumed":              func(_ *term, _ *worker, pl *placement) { pl.resumed = true },
 		"not confirmed":        func(_ *term, _ *worker, pl *placement) { pl.startedAt = 0 },
 		"started twice":        func(_ *term, _ *worker, pl *placement) { pl.tries = 2 },
-		"other incarnation":    func(_ *term, wo *worker, _ *placement) { wo.told = 9 },
+		"other incarnation":    func(_ *term, wo *worker, _ *placement) { wo.answeredAs = 9 },
 		"beside mixed load":    func(_ *term, wo *worker, _ *placement) { wo.mixedLoad = true },
 		"on a failing worker":  func(_ *term, wo *worker, _ *placement) { wo.failureStreakRuns = 1 },
 		"begun on a cold one":  func(_ *term, wo *worker, pl *placement) { wo.coldUntil = pl.startedAt + 1 },
@@ -53,7 +53,7 @@
 			pl.tries, pl.startedAt = 1, te.Clock.Now()
 			disturb(te, wo, pl)
 			te.gaugeCompletion(wo, key, pl, te.Clock.Now()+2000)
-			told = te.gauger.Gauge("w-0", wo.told, te.Clock.Now()).Runs > 0
+			told = te.gauger.Gauge("w-0", wo.answeredAs, te.Clock.Now()).Runs > 0
 		})
 		return told
 	}
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -51,7 +51,7 @@
 		// Evacuations holds the evacuated zones.
 		Evacuations fleet.Evacuations
 		// Pairs are those of which there is evidence, Named those that operators have named, and Judgments
-		// tell of workers whose tasks are slow.
+		// describe workers whose tasks are slow.
 		Pairs     []separator.Pair
 		Named     separator.Names
 		Judgments []separator.Judgment
@@ -74,7 +74,7 @@
 		State  WorkerState
 		Free   workload.Resources
 		Tasks  []workload.TaskKey
-		// Speed is what is known of the worker's speed, and SpeedAge the time since a run last told of it.
+		// Speed is what is known of the worker's speed, and SpeedAge the time since a run was last measured.
 		Speed    gauger.Gauge
 		SpeedAge clock.Millis
 	}
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -52,24 +52,24 @@
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
 
-		// answered means that some incarnation has answered this leader, and told is the one that did so
+		// answered means that some incarnation has answered this leader, and answeredAs is the one that did so
 		// last.
-		answered bool
-		told     workload.Incarnation
-		// contacted means that told is certainly the incarnation in the report. The worker gets work only
+		answered   bool
+		answeredAs workload.Incarnation
+		// contacted means that answeredAs is certainly the incarnation in the report. The worker gets work only
 		// then.
 		contacted bool
 		// clock is the reading of the worker's clock at the time clockAt.
 		clock   clock.Millis
 		clockAt clock.Millis
-		// leaseEnd is the latest lease expiry that was ever sent to the incarnation told, on its clock.
+		// leaseEnd is the latest lease expiry that was ever sent to the incarnation answeredAs, on its clock.
 		leaseEnd clock.Millis
 		// polledAt is when the last successful poll was sent.
 		polledAt clock.Millis
 		// settlingUntil is the end of the time for which polls are short, because a run has to be stopped of
 		// which the worker lists no end.
 		settlingUntil clock.Millis
-		// identifiedAt is when the incarnation told last answered a poll.
+		// identifiedAt is when the incarnation answeredAs last answered a poll.
 		identifiedAt clock.Millis
 
 		// applied is the number of the last completion that was applied to the jobs, recorded
@@ -252,8 +252,8 @@
 	te.mark(wo)
 	before := wo.report
 	wo.listed = true
-	if wo.contacted && wo.failures == 0 && re.Incarnation != wo.told && !assessor.Supersedes(re.Incarnation, wo.told) {
-		te.log.Info().Str("worker", row.Name).Int64("life", int64(re.Incarnation)).Int64("told", int64(wo.told)).Msg("workerReportOutdated")
+	if wo.contacted && wo.failures == 0 && re.Incarnation != wo.answeredAs && !assessor.Supersedes(re.Incarnation, wo.answeredAs) {
+		te.log.Info().Str("worker", row.Name).Int64("life", int64(re.Incarnation)).Int64("told", int64(wo.answeredAs)).Msg("workerReportOutdated")
 		return
 	}
 	if wo.contacted && re.Incarnation != before.Incarnation && te.silences[before.Address] == nil {
@@ -282,8 +282,8 @@
 // former one is discarded. Runs are kept until the answer is applied, because a command for the former
 // incarnation may have reached the new one.
 func (te *term) identify(wo *worker, st fleet.Status, now clock.Millis) {
-	if st.Incarnation == 0 || wo.answered && st.Incarnation == wo.told {
-		wo.report.Incarnation = wo.told
+	if st.Incarnation == 0 || wo.answered && st.Incarnation == wo.answeredAs {
+		wo.report.Incarnation = wo.answeredAs
 		return
 	}
 	if wo.answered {
@@ -296,7 +296,7 @@
 		wo.orphans = map[workload.TaskKey]*placement{}
 	}
 	te.endSilence(wo.report.Address, wo.id, st.Incarnation, now)
-	wo.report.Incarnation, wo.told = st.Incarnation, st.Incarnation
+	wo.report.Incarnation, wo.answeredAs = st.Incarnation, st.Incarnation
 	wo.clock, wo.clockAt = st.Clock, now
 }
 
@@ -356,7 +356,7 @@
 	}
 	cause, lost := te.accountEnd(en.job, en.job.StepOf(st), ta, pl, co)
 	te.log.Info().Str("task", key.String()).Int64("run", int64(co.Run)).Str("worker", string(wo.id)).Str("cause", string(cause)).Int64("lostCoreSeconds", lost).Str("how", co.Outcome.String()).Str("proof", string(proof)).
-		Int64("life", int64(ta.Incarnation)).Int64("told", int64(wo.told)).Int64("silentMillis", int64(te.Clock.Now()-wo.clockAt)).
+		Int64("life", int64(ta.Incarnation)).Int64("told", int64(wo.answeredAs)).Int64("silentMillis", int64(te.Clock.Now()-wo.clockAt)).
 		Int64("ranMillis", int64(te.Clock.Now()-ta.PlacedAt)).Int("failures", max(ta.Failures, st.Failures)).Msg("runEnded")
 	if state != en.job.State {
 		te.Metrics.Count("jobs", en.job.State.String())
--- a/wagtailcroftd/gatekeeper/conn.go
+++ b/wagtailcroftd/gatekeeper/conn.go
@@ -32,7 +32,7 @@
 )
 
 type (
-	// conn is a connection that tells the shedder what it does.
+	// conn is a connection that reports to the shedder what it does.
 	conn struct {
 		net.Conn
 		ga       *Gatekeeper
@@ -187,7 +187,7 @@
 	}
 }
 
-// CloseWrite tells the client that nothing more follows.
+// CloseWrite signals to the client that nothing more follows.
 func (co *conn) CloseWrite() error {
 	if cw, is := co.Conn.(interface{ CloseWrite() error }); is {
 		return cw.CloseWrite()
--- a/wagtailcroftd/overseer/zones.go
+++ b/wagtailcroftd/overseer/zones.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// addUnreclaimable tells how much of each guarantee could not be reclaimed now in the zones that are not
+// addUnreclaimable adds how much of each guarantee could not be reclaimed now in the zones that are not
 // evacuated: what the other workspaces use there within their guarantees stays with them, and what its own
 // urgent work uses in evacuated zones goes on.
 func addUnreclaimable(list []operator.WorkspaceView, view controller.View) {
