--- a/demo/cmd_slopes.go
+++ b/demo/cmd_slopes.go
@@ -16,7 +16,7 @@
 	Name: "slopes",
 	Help: "Fit slopes to the output of the cost subcommand, read from standard input, and write them into the page.",
 	Bind: func(cl *kingpin.CmdClause) func() error {
-		page := cl.Flag("page", "Page to write into.").Default("docs/CAPACITY.md").String()
+		page := cl.Flag("page", "Page to write into.").Default("docs/CAPACITY-SERVE.md").String()
 		return func() error { return slopes(*page) }
 	},
 }
