--- a/decisions/planner/value.go
+++ b/decisions/planner/value.go
@@ -74,6 +74,9 @@
 		longest = min(longest, maxGuaranteedWait-ro.in.WaitTime(ca.job.ID))
 	}
 	delay := urgentValue * coresOf(ca.step.Request) * float64(count)
+	if delay <= 0 {
+		return false // its wait cannot be weighed
+	}
 	longest = min(longest, clock.Millis(cost/delay))
 	if longest <= 0 {
 		return false
