Switch off the headroom for gangs that cannot save

With 48 workers six deviations of the urgent demand are most of the pool, so that gangs which cannot save hardly start. Change: the preset Contention has the usual headroom; the rule stays, off, until it follows the size of the pool.

--- a/decisions/planner/tuning.go
+++ b/decisions/planner/tuning.go
@@ -8,7 +8,7 @@
 	Completion = Tuning{HeadroomDeviations: 2.5, MaxHeadroom: 0.35, SeparationWeight: 0.2, MaxRackWait: 20 * clock.Second, OrderByObjective: true}
 	// Contention aims to lose little work on fleets on which workers leave and urgent work comes in bursts.
 	Contention = Tuning{
-		HeadroomDeviations: 2.5, MaxHeadroom: 0.35, UnsavedDeviations: 6, MaxUnsavedHeadroom: 0.62, SeparationWeight: 0.2, MaxRackWait: 20 * clock.Second,
+		HeadroomDeviations: 2.5, MaxHeadroom: 0.35, SeparationWeight: 0.2, MaxRackWait: 20 * clock.Second,
 		OrderByObjective: true, DepartByRemaining: true, PreemptByValue: true, HoldByEnd: true,
 	}
 	// Fragmentation keeps large gangs on one rack and free resources in large blocks, at
