--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -18,6 +18,7 @@
 	urgent  = "/pufi791/"
 	normal  = "/lohu930/"
 	patient = "/pule252/"
+	advised = "/zofi118/"
 )
 
 type (
@@ -57,7 +58,7 @@
 	st.put("op", "config", map[string]any{
 		"version": 7,
 		"routes": []any{
-			route("r-yyjsg3a", urgent, 250, 0, 4, 1.5), route("r-7ejsmzz", normal, 1000, 1, 3, 3), route("r-jwyy7yx", patient, 3000, 2, 4, 3),
+			route("r-yyjsg3a", urgent, 250, 0, 4, 1.5), route("r-7ejsmzz", normal, 1000, 1, 3, 3), route("r-jwyy7yx", patient, 3000, 2, 4, 3), withAdvice(route("r-aa7yx", advised, 1000, 1, 4, 3)),
 		},
 		"services": []any{map[string]any{"name": pool, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "enforcesCapacity": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -65,6 +66,12 @@
 	})
 }
 
+// withAdvice lets a queue need advice.
+func withAdvice(route map[string]any) map[string]any {
+	route["advice"] = map[string]any{"decisionMs": 100, "perWorkerMs": 5, "validityMs": 3000}
+	return route
+}
+
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 func specOf(wo work) string {
--- a/review/rig-2/daemon.go
+++ b/review/rig-2/daemon.go
@@ -62,16 +62,13 @@
 }
 
 // newDaemons prepares processes, each on a loopback address of its own, because all use one port for metrics.
-func newDaemons(count int, storeAddress, dir string) []*daemon {
+func newDaemons(count int, storeAddress, cloudAddress, adviceAddress, dir string) []*daemon {
 	var all []*daemon
 	zones := []string{"kochi", "thrissur", "kozhikode", "tvm"}
 	var seeds []string
 	for i := range count {
 		ip := freeAddress()
-		ports := make([]int, 4)
-		for j := range ports {
-			ports[j] = freePort(ip)
-		}
+		ports := freePorts(ip, 4)
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ip, ports[2])))
 		da := &daemon{name: fmt.Sprintf("front-%s-%d", zones[i%4], i), front: fmt.Sprintf("%s:%d", ip, ports[0]), dir: dir}
 		da.path = filepath.Join(dir, da.name+".toml")
@@ -91,6 +88,7 @@
 heartbeatMs = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","platform","upkeep","sharing"]
 controlMode = "call"
+advice = %q
 [zones]
 kochi = "kerala"
 thrissur = "kerala"
@@ -122,14 +120,19 @@
 rowBytes = 65536
 crossShard = false
 historyS = 20
-`, da.name, ip, zones[i%4], ports[3], ports[3]+15, strings.Join(seeds[:1], ","), ip, ports[0], ip, ports[1], ip, ports[2], bounds, storeAddress)
+[cloud]
+address = %q
+ratePerS = 60.0
+dutyPerS = 60.0
+`, da.name, ip, zones[i%4], ports[3], ports[3]+15, strings.Join(seeds[:1], ","), adviceAddress, ip, ports[0], ip, ports[1], ip, ports[2], bounds, storeAddress, cloudAddress)
 		check(os.WriteFile(da.path, []byte(text), 0o644))
 		all = append(all, da)
 	}
 	return all
 }
 
-// freeAddress returns a loopback address on which the port of the metrics is free.
+// freeAddress returns a loopback address on which the port of the metrics is free. No outgoing connection takes a
+// port of it, as these come from 127.0.0.1.
 func freeAddress() string {
 	for {
 		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 2+rand.IntN(250))
@@ -140,11 +143,16 @@
 	}
 }
 
-func freePort(ip string) int {
-	ln, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port
+// freePorts returns ports that are free on an address, all of them different.
+func freePorts(ip string, count int) []int {
+	var ports []int
+	for range count {
+		ln, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer func() { _ = ln.Close() }()
+		ports = append(ports, ln.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
 }
 
 // start starts the program as the deploy file says.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -23,12 +23,14 @@
 	st      *store
 	fl      *fleet
 	cl      *client
+	cd      *cloud
+	ad      *advice
 	das     []*daemon
 	trouble bool
 }
 
 var plays = map[string]func(*rig) int{
-	"flap": playFlap, "kind": playKind, "pending": playPending, "gang": playGang, "lasting": playLasting, "headroom": playHeadroom,
+	"flap": playFlap, "kind": playKind, "pending": playPending, "gang": playGang, "lasting": playLasting, "headroom": playHeadroom, "wave": playWave, "entries": playEntries, "advice": playAdvice,
 }
 
 func check(err error) {
@@ -62,7 +64,10 @@
 	st.serve(ln)
 	writeConfig(st)
 	ri := &rig{re: re, st: st, fl: newFleet(re, st), trouble: os.Getenv("TROUBLE") != "0"}
-	ri.das = newDaemons(3, ln.Addr().String(), temp)
+	var cloudAddress, adviceAddress string
+	ri.ad, adviceAddress = newAdvice(re)
+	ri.cd, cloudAddress = newCloud(re)
+	ri.das = newDaemons(3, ln.Addr().String(), cloudAddress, adviceAddress, temp)
 	ri.cl = &client{re: re, das: ri.das}
 	defer func() {
 		for _, da := range ri.das {
--- a/review/rig-2/plays.go
+++ b/review/rig-2/plays.go
@@ -363,3 +363,173 @@
 	}
 	return running, cpu, gpu
 }
+
+// playWave: a wave of upkeep of two machines, two at once, on which the two tasks of a lasting step run, one of which
+// may be away at a time.
+func playWave(ri *rig) int {
+	all, _ := ri.startRunners(12)
+	ri.cd.mu.Lock()
+	for i, ru := range all[1:] {
+		ri.cd.machines = append(ri.cd.machines, &machine{name: fmt.Sprintf("m-%05d", i), runner: ru, labels: ru.life.labels, state: "up", done: map[int64]bool{}})
+	}
+	ri.cd.mu.Unlock()
+	id, ok := ri.cl.submit(normal, job{Spec: specOf(work{Lasts: true, StartupMs: 1500}), Steps: []step{{Count: 2, CPU: 4000, MemMb: 4000, AntiAffinity: 1, Requires: "a", LongRunning: true, MaxUnavailable: 1}}})
+	if !ok {
+		return notRun
+	}
+	time.Sleep(5 * time.Second)
+	if ri.trouble {
+		var names []string
+		ri.cd.mu.Lock()
+		for _, ma := range ri.cd.machines {
+			ri.fl.mu.Lock()
+			for _, sa := range ri.fl.starts {
+				if sa.runner == ma.runner.id && sa.task[:16] == id {
+					names = append(names, ma.name)
+				}
+			}
+			ri.fl.mu.Unlock()
+		}
+		ri.cd.mu.Unlock()
+		ri.re.note("a wave of the machines %v, two at once", names)
+		ri.st.put("op", "wave/1", map[string]any{"wave": 1, "machines": names, "durationS": 20, "maximum": 2})
+	}
+	time.Sleep(12 * time.Second)
+	return ri.judgeAway(id)
+}
+
+// judgeAway looks for a stop that ended a task at work while the other one, ended by such an order, was not at work.
+func (ri *rig) judgeAway(id string) int {
+	ri.fl.mu.Lock()
+	defer ri.fl.mu.Unlock()
+	result := held
+	for _, end := range ri.fl.ends {
+		if end.task[:16] != id || end.how != "stopped" {
+			continue
+		}
+		for _, other := range ri.fl.ends {
+			if other.task[:16] != id || other.task == end.task || other.how != "stopped" || other.at.After(end.at) {
+				continue
+			}
+			// The other one was ended before; is it at work again?
+			back := time.Time{}
+			for _, sa := range ri.fl.starts {
+				if sa.task == other.task && sa.at.After(other.at) {
+					back = sa.at.Add(1500 * time.Millisecond)
+					break
+				}
+			}
+			ri.re.note("%s was stopped at %.3f; %s had been stopped at %.3f and is at work again from %.3f", end.task, ri.re.at(end.at), other.task, ri.re.at(other.at), ri.re.at(back))
+			if back.IsZero() || end.at.Add(-stopGrace).Before(back) {
+				result = broken
+			}
+		}
+	}
+	return result
+}
+
+// playEntries: another writer leaves entries in the table of runners; jobs go on, and no process ends.
+func playEntries(ri *rig) int {
+	all, _ := ri.startRunners(12)
+	texts := []string{
+		``, `null`, `{}`, `[]`, `"x"`, "\x00\xff\xfe", `{"service":7}`, `{"service":"huvo11a","address":"127.0.0.1:9","born":"x"}`,
+		`{"service":"huvo11a","address":7,"state":"ready","born":1,"capacity":{"cpu":1}}`,
+		`{"service":"huvo11a","address":"not an address","state":"ready","born":1,"capacity":{"cpu":64000,"memMb":131072,"gpu":8},"labels":["a"]}`,
+		`{"service":"elsewhere","address":"127.0.0.1:9","state":"ready","born":1,"capacity":{"cpu":64000,"memMb":131072,"gpu":8},"labels":["a"]}`,
+		`{"service":"huvo11a","address":"127.0.0.1:9","state":"asleep","born":1,"capacity":{"cpu":64000,"memMb":131072,"gpu":8}}`,
+		`{"service":"huvo11a","address":"127.0.0.1:9","state":"ready","born":-1,"capacity":{"cpu":64000,"memMb":131072,"gpu":8}}`,
+		`{"service":"huvo11a","address":"127.0.0.1:9","state":"ready","born":1,"capacity":{"cpu":-5,"memMb":-5,"gpu":-5},"labels":[]}`,
+		`{"service":"huvo11a","address":"127.0.0.1:9","state":"ready","born":1,"capacity":{"cpu":1e300}}`,
+		`{"service":"huvo11a","address":"127.0.0.1:9","state":"draining","born":1,"capacity":{},"remainingMs":1e300,"labels":["a",null,7]}`,
+		strings.Repeat(`[`, 20000),
+	}
+	for range 3 {
+		for i, text := range texts {
+			if ri.trouble {
+				ri.st.putRaw("servers", fmt.Sprintf("i-foreign%d", i), []byte(text))
+				ri.st.putRaw("servers", all[1+i%11].id, []byte(text))
+			}
+			if _, ok := ri.cl.submit(normal, job{Spec: specOf(work{Ms: 700, Gang: 2}), Steps: []step{{Count: 2, CPU: 4000, MemMb: 4000, Gpu: 1, EstimateMs: 700, Gang: true}}}); !ok {
+				return notRun
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	ri.fl.mu.Lock()
+	defer ri.fl.mu.Unlock()
+	done := map[string]int{}
+	for _, end := range ri.fl.ends {
+		if end.how == "done" {
+			done[end.task]++
+		}
+	}
+	again := 0
+	for _, count := range done {
+		if count > 1 {
+			again++
+		}
+	}
+	ri.re.note("%d tasks of %d have ended done, %d of them more than once", len(done), 2*3*len(texts), again)
+	if len(done) < 2*3*len(texts) || again > 0 {
+		return broken
+	}
+	return held
+}
+
+// playAdvice: many jobs come at once on a queue that needs advice, and urgent gangs beside them.
+func playAdvice(ri *rig) int {
+	ri.startRunners(12)
+	count := 60
+	if !ri.trouble {
+		count = 5
+	}
+	ids := map[string]bool{}
+	for range count {
+		id, ok := ri.cl.submit(advised, job{Spec: specOf(work{Ms: 1000}), Steps: []step{{Count: 1, CPU: 1000, MemMb: 500, EstimateMs: 1000}}})
+		if !ok {
+			return notRun
+		}
+		ids[id] = true
+	}
+	gangs := map[string]bool{}
+	for range 8 {
+		id, ok := ri.cl.submit(urgent, job{Spec: specOf(work{Ms: 1500, Gang: 12}), Steps: []step{{Count: 12, CPU: 4000, MemMb: 500, Gpu: 1, EstimateMs: 1500, Gang: true}}})
+		if !ok {
+			return notRun
+		}
+		gangs[id] = true
+		time.Sleep(time.Second)
+	}
+	time.Sleep(30 * time.Second)
+	ri.fl.mu.Lock()
+	defer ri.fl.mu.Unlock()
+	begun, done, alone := map[string]bool{}, map[string]bool{}, 0
+	for _, sa := range ri.fl.starts {
+		begun[sa.task[:16]] = true
+	}
+	for _, end := range ri.fl.ends {
+		if end.how == "done" {
+			done[end.task[:16]] = true
+		}
+		if end.how == "alone" {
+			alone++
+		}
+	}
+	missing, late := 0, 0
+	for id := range ids {
+		if !begun[id] {
+			missing++
+		}
+	}
+	for id := range gangs {
+		if !done[id] {
+			late++
+		}
+	}
+	ri.re.note("%d of %d jobs with advice have not begun, %d of 8 urgent gangs are not done, %d ends alone; %d calls served, %d left", missing, count, late, alone, ri.ad.served, ri.ad.left)
+	if missing > 0 || late > 0 || alone > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/rig-2/runner.go
+++ b/review/rig-2/runner.go
@@ -30,6 +30,8 @@
 		Saves  bool  `json:"saves,omitempty"`
 		Lasts  bool  `json:"lasts,omitempty"`
 		Number int   `json:"number,omitempty"`
+		// StartupMs is how long a task that lasts takes until it is at work.
+		StartupMs int64 `json:"startupMs,omitempty"`
 		// CPU and Gpu are what the task takes, for the record.
 		CPU int `json:"cpu,omitempty"`
 		Gpu int `json:"gpu,omitempty"`
@@ -132,11 +134,8 @@
 }
 
 func (fl *fleet) add(id, service, zone string) *runner {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	address := ln.Addr().String()
-	_ = ln.Close()
-	ru := &runner{fl: fl, id: id, address: address, zone: zone, service: service}
+	ip := freeAddress()
+	ru := &runner{fl: fl, id: id, address: fmt.Sprintf("%s:%d", ip, freePorts(ip, 1)[0]), zone: zone, service: service}
 	fl.all = append(fl.all, ru)
 	return ru
 }
@@ -400,7 +399,7 @@
 
 func (rn *run) percent() int {
 	if rn.spec.Lasts {
-		return 100
+		return int(min(time.Since(rn.began).Milliseconds()*100/max(rn.spec.StartupMs, 1), 100))
 	}
 	return int(min(rn.worked()*100/max(rn.spec.Ms, 1), 100))
 }
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -187,3 +187,10 @@
 		}
 	}
 }
+
+// putRaw writes a row of any bytes, as another writer may.
+func (st *store) putRaw(table, key string, value []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.apply([]row{{Table: table, Key: key, Value: value}}, nil)
+}
