Review case 14: jobs that can't be done switch off preemption

Done: the former case 14 (a runner that goes down and up) is taken out, as case 6 shows it. In its place a script with eight urgent jobs that can never be done, and later an urgent job within the guarantee while other work uses all GPUs. The stand-in got what the new cases need, and lost what the cases that were taken out needed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/stand3
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off CGO_ENABLED=0 go build -o ../../target/stand3 .
+GOWORK=off GOFLAGS=-buildvcs=false GOPROXY=off CGO_ENABLED=0 go build -o ../../target/stand3 .
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -17,13 +17,11 @@
 
 // cases return an empty text if the rule held, and what broke it otherwise.
 var cases = map[string]func(pl place, trouble bool) string{
-	"reclaim":  reclaimCase,
-	"rename":   renameCase,
-	"flap":     flapCase,
-	"once":     onceCase,
-	"burst":    burstCase,
-	"services": servicesCase,
-	"pending":  pendingCase,
+	"reclaim": reclaimCase,
+	"rename":  renameCase,
+	"once":    onceCase,
+	"gang":    gangCase,
+	"poison":  poisonCase,
 }
 
 func main() {
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -33,8 +33,6 @@
 		number   int64
 		// most is the highest run of each task that was stopped or has ended.
 		most map[string]int64
-		// refuses means that the runner is unhealthy: it answers starts with 503 and does nothing.
-		refuses bool
 	}
 
 	task struct {
@@ -45,6 +43,8 @@
 		lasts bool
 		// failing means that the task is to fail now.
 		failing bool
+		// finished means that it is done now.
+		finished bool
 		// waits means that other members of the gang are not present yet, alone that they did not come in time.
 		waits, alone bool
 	}
@@ -78,6 +78,7 @@
 	fl.StringVar(&ru.store, "store", "", "")
 	fl.StringVar(&ru.service, "service", "", "")
 	rack := fl.String("rack", "", "")
+	listen := fl.String("listen", "", "")
 	_ = fl.Parse(args)
 	ru.capacity["cpu"], ru.capacity["memMb"], ru.capacity["gpu"] = 64000, 131072, 8
 	ru.labels = []string{"a", *rack}
@@ -88,21 +89,23 @@
 	mux.HandleFunc("POST /v1/hold", ru.hold)
 	mux.HandleFunc("POST /v1/pace", func(wr http.ResponseWriter, _ *http.Request) { ru.answer(wr, http.StatusOK, map[string]any{}) })
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("POST /stand-in/refuse/{on}", func(_ http.ResponseWriter, rq *http.Request) {
+	mux.HandleFunc("POST /stand-in/fail/{job}", func(_ http.ResponseWriter, rq *http.Request) {
 		ru.mu.Lock()
 		defer ru.mu.Unlock()
-		ru.refuses = rq.PathValue("on") == "1"
+		for name, ta := range ru.running {
+			ta.failing = ta.failing || strings.HasPrefix(name, rq.PathValue("job"))
+		}
 	})
-	mux.HandleFunc("POST /stand-in/fail/{job}", func(_ http.ResponseWriter, rq *http.Request) {
+	mux.HandleFunc("POST /stand-in/finish/{job}", func(_ http.ResponseWriter, rq *http.Request) {
 		ru.mu.Lock()
 		defer ru.mu.Unlock()
 		for name, ta := range ru.running {
-			ta.failing = ta.failing || strings.HasPrefix(name, rq.PathValue("job"))
+			ta.finished = ta.finished || strings.HasPrefix(name, rq.PathValue("job"))
 		}
 	})
 	go ru.beat()
 	go ru.tick()
-	fmt.Fprintln(os.Stderr, http.ListenAndServe(ru.address, mux))
+	fmt.Fprintln(os.Stderr, http.ListenAndServe(*listen, mux))
 	os.Exit(1)
 }
 
@@ -136,7 +139,7 @@
 				ru.end(name, ta, "failed")
 			case ta.alone:
 				ru.end(name, ta, "alone")
-			case !ta.lasts && !ta.waits && now-ta.began >= ta.length:
+			case ta.finished || !ta.lasts && !ta.waits && now-ta.began >= ta.length:
 				ru.end(name, ta, "done")
 			}
 		}
@@ -194,11 +197,6 @@
 	}
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
-	if ru.refuses {
-		ru.tell("refused", co.Task, co.Run, "503")
-		ru.answer(wr, http.StatusServiceUnavailable, map[string]any{})
-		return
-	}
 	if !ru.admit(wr, rq, co.Fence, co.DeadlineMs) {
 		return
 	}
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -32,6 +32,9 @@
 	runnerPort = "8080"
 )
 
+// guaranteed is the number of GPUs that are guaranteed to the tenant.
+var guaranteed = 8
+
 type (
 	// event is what a runner tells.
 	event struct {
@@ -66,8 +69,11 @@
 	}
 
 	runnerProcess struct {
-		id, address, rack string
-		cmd               *exec.Cmd
+		id, rack string
+		// address is that of a proxy, through which instances reach the process at own.
+		address, own string
+		proxy        *proxy
+		cmd          *exec.Cmd
 	}
 
 	route struct {
@@ -144,13 +150,9 @@
 	wo.storeAddress = ln.Addr().String()
 	go func() { _ = http.Serve(ln, wo.store.handler()) }()
 	wo.configure(1, routes)
-	hosts := freeHosts(instances + runners + 1)
-	wo.nobody = net.JoinHostPort(hosts[instances+runners], runnerPort)
-	for i := range runners {
-		ru := &runnerProcess{id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), address: net.JoinHostPort(hosts[instances+i], runnerPort), rack: fmt.Sprintf("r1-%d", i/6)}
-		wo.runners = append(wo.runners, ru)
-		wo.startRunner(ru)
-	}
+	hosts := freeHosts(instances + 1)
+	wo.nobody = net.JoinHostPort(hosts[instances], runnerPort)
+	wo.addRunners(runners)
 	for i, ip := range hosts[:instances] {
 		wo.startInstance(i, ip)
 	}
@@ -176,7 +178,7 @@
 		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "kaje80", "apiKeys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}}},
+		"tenants":  []map[string]any{{"name": "kaje80", "apiKeys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": guaranteed}}},
 	})
 	wo.store.put("op", "config", value)
 	var names []string
@@ -186,10 +188,47 @@
 	wo.note("operator: configuration %d acknowledged, routes %s", version, strings.Join(names, ", "))
 }
 
+// addRunners adds empty runners, six to a rack.
+func (wo *world) addRunners(count int) {
+	hosts := freeHosts(2 * count)
+	for i := range count {
+		at := len(wo.runners)
+		ru := &runnerProcess{
+			id: fmt.Sprintf("i-%08x", 0x7f3a9100+at), rack: fmt.Sprintf("r1-%d", at/6),
+			address: net.JoinHostPort(hosts[2*i], runnerPort), own: net.JoinHostPort(hosts[2*i+1], runnerPort),
+		}
+		ru.proxy = newProxy(ru.address, ru.own)
+		wo.mu.Lock()
+		wo.runners = append(wo.runners, ru)
+		wo.mu.Unlock()
+		wo.startRunner(ru)
+	}
+}
+
+// runner returns the runner with an id.
+func (wo *world) runner(id string) *runnerProcess {
+	wo.mu.Lock()
+	all := wo.runners
+	wo.mu.Unlock()
+	for _, ru := range all {
+		if ru.id == id {
+			return ru
+		}
+	}
+	check(fmt.Errorf("no runner %q", id))
+	return nil
+}
+
+// cut cuts a runner off from all instances, or ends that. It runs on, and reaches the store.
+func (wo *world) cut(ru *runnerProcess, on bool) {
+	ru.proxy.set(on)
+	wo.note("runner %s is cut off from the instances: %v", ru.id, on)
+}
+
 func (wo *world) startRunner(ru *runnerProcess) {
 	self, err := os.Executable()
 	check(err)
-	ru.cmd = exec.Command(self, "runner", "-id", ru.id, "-address", ru.address, "-store", wo.storeAddress, "-service", service, "-rack", ru.rack)
+	ru.cmd = exec.Command(self, "runner", "-id", ru.id, "-address", ru.address, "-listen", ru.own, "-store", wo.storeAddress, "-service", service, "-rack", ru.rack)
 	ru.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := ru.cmd.StdoutPipe()
 	check(err)
@@ -218,17 +257,11 @@
 
 // tell asks a runner to behave in another way.
 func (wo *world) tell(ru *runnerProcess, what string) {
-	rs, err := http.Post("http://"+ru.address+"/stand-in/"+what, "", nil)
+	rs, err := http.Post("http://"+ru.own+"/stand-in/"+what, "", nil)
 	check(err)
 	_ = rs.Body.Close()
 }
 
-// refuse makes a runner unhealthy, or healthy again.
-func (wo *world) refuse(ru *runnerProcess, on int) {
-	wo.tell(ru, fmt.Sprintf("refuse/%d", on))
-	wo.note("runner %s is unhealthy: %d", ru.id, on)
-}
-
 // fail makes all tasks at work fail whose names begin so.
 func (wo *world) fail(prefix string) {
 	wo.note("the tasks of %s fail", prefix)
@@ -237,6 +270,14 @@
 	}
 }
 
+// finish makes all tasks at work end "done" whose names begin so.
+func (wo *world) finish(prefix string) {
+	wo.note("the tasks of %s are done", prefix)
+	for _, ru := range wo.runners {
+		wo.tell(ru, "finish/"+prefix)
+	}
+}
+
 const settingsText = `nodeName = "%[1]s"
 role = "scheduler"
 machineClass = "front"
