Start a failed task again where it failed if no other worker has room

Cause: the planner removed the worker where a task last failed as long as any other worker passed the filters, even if none of these had room, and gave up a step at its first task without a place. Change: workers where the task has not failed are searched first, then all, also for room after stops and for preemption. A task returns to the worker where it failed after 1 s, so that failures on the only possible worker do not follow each other without a pause, and a step goes on without a task that waits for that.

--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -326,7 +326,7 @@
 	st, ta := ar.job.Task(key)
 	step := ar.job.StepOf(st)
 	ran := max(da.now-ru.started, 0)
-	co := workload.Completion{Run: ta.Run, Outcome: outcome}
+	co := workload.Completion{Run: ta.Run, Outcome: outcome, At: da.now}
 	lost := ran
 	if outcome != workload.OutcomeDone && step.Checkpointing {
 		done := da.checkpointedFraction(ar, st, ta, key.Index, ran)
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -211,10 +211,18 @@
 		ro.placeTasks(ca, ca.indexes)
 		return
 	}
-	for i := range ca.indexes {
-		if !ro.placeTasks(ca, ca.indexes[i:i+1]) {
-			return // the other tasks are identical, so they do not fit either
+	// The tasks differ only in the workers to which they may not return yet: where one does not fit, no other
+	// does that may use the same workers or fewer.
+	noRoom := map[identifier.Worker]bool{}
+	for i, index := range ca.indexes {
+		pausing := ro.pausesOn(ca, index)
+		if noRoom[pausing] || ro.placeTasks(ca, ca.indexes[i:i+1]) {
+			continue
 		}
+		if pausing == "" || !ro.mayStart(ca, 1) {
+			return
+		}
+		noRoom[pausing] = true
 	}
 }
 
@@ -231,34 +239,46 @@
 	if cannotFit && !mayPreempt && !mayHold {
 		return false
 	}
-	slots := ro.allowed(ca, indexes)
+	groups := ro.allowed(ca, indexes)
 	ca.pace = ro.paceOf(ca)
 	if !cannotFit {
-		if found := ro.find(ca, slots, len(indexes), freeNow); found != nil {
+		if found := ro.findFirst(ca, groups, len(indexes), freeNow); found != nil {
 			if !ro.leavesHeadroom(ca, len(indexes)) || !ro.mayStart(ca, len(indexes)) {
 				return false
 			}
 			ro.start(ca, indexes, found)
 			return true
 		}
-		if found := ro.find(ca, slots, len(indexes), freeAfterStops); found != nil {
+		if found := ro.findFirst(ca, groups, len(indexes), freeAfterStops); found != nil {
 			ro.reserve(ca, found)
 			return true
 		}
 	}
 	if mayPreempt {
 		ro.preemptionSearches++
-		if ro.preempt(ca, slots, len(indexes)) {
-			return true
+		for _, slots := range groups {
+			if ro.preempt(ca, slots, len(indexes)) {
+				return true
+			}
 		}
 	}
 	if mayHold {
 		ro.holdSearches++
-		ro.hold(ca, slots, len(indexes))
+		ro.hold(ca, groups[len(groups)-1], len(indexes))
 	}
 	return false
 }
 
+// findFirst returns what find does for the first group of slots on which the tasks fit.
+func (ro *round) findFirst(ca candidate, groups [][]*slot, count int, view func(*slot) workload.Resources) []*slot {
+	for _, slots := range groups {
+		if found := ro.find(ca, slots, count, view); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
 // mayStart reports whether the limit of starts allows to start that many tasks of a candidate. If not,
 // the work that follows waits too, except more urgent work, so that a large gang is not overtaken by
 // smaller work again and again.
--- a/decisions/workload/transitions.go
+++ b/decisions/workload/transitions.go
@@ -1,6 +1,10 @@
 package workload
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/wagtailcroft/wagtailcroft/shared/clock"
+)
 
 // CompleteRun applies the completion of a run and reports whether the job changed. A
 // completion of a run other than the task's current one is ignored. attempts limits the
@@ -28,7 +32,7 @@
 		jo.finishTask(st, ta)
 	case run.Outcome == OutcomeFailed:
 		ta.Phase = Waiting
-		jo.countFailure(st, ta, attempts)
+		jo.countFailure(st, ta, run.At, attempts)
 	default:
 		ta.Phase = Waiting
 	}
@@ -86,10 +90,10 @@
 
 // countFailure counts a failed run, and fails the job if the attempts are used up. The
 // failures of several gang members with the same run number count once.
-func (jo *Job) countFailure(st *Stage, ta *Task, attempts int) {
+func (jo *Job) countFailure(st *Stage, ta *Task, at clock.Millis, attempts int) {
 	step := jo.StepOf(st)
 	ta.Failures++
-	ta.FailedOn = ta.Worker
+	ta.FailedOn, ta.FailedAt = ta.Worker, at
 	count := ta.Failures
 	if step.Gang {
 		if st.firstFailure(ta) {
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -177,8 +177,10 @@
 		// EarlierDone means that an earlier run has completed, so that the task is done when its present run
 		// has ended. It is not stored.
 		EarlierDone bool
-		// FailedOn is the worker on which the task last failed. It is not stored.
+		// FailedOn is the worker on which the task last failed, and FailedAt when this scheduler learned of
+		// it, on its own clock. They are not stored: a new leader starts without this preference.
 		FailedOn identifier.Worker
+		FailedAt clock.Millis
 		// PlacedAt is when the run was placed or, if that is later, when this scheduler read
 		// it from the store or learned that it had started, on the scheduler's own clock. It
 		// is not stored.
@@ -193,6 +195,8 @@
 		Outcome RunOutcome
 		// Checkpoint is the last checkpoint of the run; empty means none.
 		Checkpoint string
+		// At is when this scheduler learned of it, on its own clock.
+		At clock.Millis
 	}
 
 	// TaskKey identifies one task of a job.
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -315,6 +315,7 @@
 	state := en.job.State
 	st, ta := en.job.Task(key)
 	earlier := ta != nil && co.Run < ta.Run && co.Outcome == workload.OutcomeDone
+	co.At = te.Clock.Now()
 	if ta == nil || ta.Worker != wo.id && !earlier || !en.job.CompleteRun(key, co, attempts) {
 		return
 	}
