Run the jobs of a renamed or removed queue under the terms of their acceptance

Cause: a job's row named its queue only, and everything else was looked up in the newest configuration. A look-up that found nothing also gave priority 0, which is urgent: the running work of a removed queue could not be preempted by urgent work beyond its guarantee. Change: the pool, priority, limit of attempts, objective and need of advice are written with the submission, so that a new leader knows them, and workload.Job.TermsIn decides whether they or those of the present queue apply. All look-ups by a job's queue use it. Rows of earlier versions are read. config check names the new effect of a removal.

--- a/bench/simulator/simulator.go
+++ b/bench/simulator/simulator.go
@@ -147,9 +147,9 @@
 			})
 		}
 	}
-	da.input = planner.Input{Workers: da.workers, Queues: map[identifier.Queue]planner.Queue{}, Guarantees: lo.guarantees()}
+	da.input = planner.Input{Workers: da.workers, Queues: map[identifier.Queue]workload.Terms{}, Guarantees: lo.guarantees()}
 	for _, ki := range lo.Kinds {
-		da.input.Queues[ki.Name] = planner.Queue{Pool: "pool", Priority: ki.Priority, MaxAttempts: ki.MaxAttempts, SlowdownFactor: ki.SlowdownFactor, Objective: ki.Objective}
+		da.input.Queues[ki.Name] = workload.Terms{Pool: "pool", Priority: ki.Priority, MaxAttempts: ki.MaxAttempts, SlowdownFactor: ki.SlowdownFactor, Objective: ki.Objective}
 	}
 	da.input.ExpectedRunTime = func(jo *workload.Job, step int) clock.Millis {
 		return da.predictor.ExpectedRunTime(jo.Queue, jo.Steps[step].Estimate)
--- a/decisions/examiner/change.go
+++ b/decisions/examiner/change.go
@@ -32,7 +32,7 @@
 	for i := range before.Queues {
 		old := &before.Queues[i]
 		if changed := after.Queue(old.Name); changed == nil {
-			co.add(Change{Kind: Queue, Name: string(old.Name), Before: old.Host + old.Prefix, Effect: "calls get 404, and accepted jobs that have not ended run no further tasks"})
+			co.add(Change{Kind: Queue, Name: string(old.Name), Before: old.Host + old.Prefix, Effect: "calls get 404; accepted jobs that have not ended go on under the terms of their acceptance"})
 		} else {
 			co.queue(old, changed)
 		}
--- a/decisions/planner/cost.go
+++ b/decisions/planner/cost.go
@@ -51,7 +51,7 @@
 func (ro *round) ruleCost(ca candidate, sl *slot) float64 {
 	cost := 0.0
 	for _, rule := range ro.in.Costs {
-		cost += rule.Millis(Place{Job: ca.job, Stage: ca.stage, Urgent: ca.queue.Priority == 0, Worker: sl.worker, Occupants: sl.occupants})
+		cost += rule.Millis(Place{Job: ca.job, Stage: ca.stage, Urgent: ca.terms.Priority == 0, Worker: sl.worker, Occupants: sl.occupants})
 	}
 	return cost
 }
@@ -99,7 +99,7 @@
 // short urgent work frees.
 func (ro *round) rackDistance(ca candidate, sl *slot) float64 {
 	position := float64(sl.position) / float64(len(ro.slots))
-	if ca.queue.Priority == 0 {
+	if ca.terms.Priority == 0 {
 		return position
 	}
 	return 1 - position
--- a/decisions/planner/filter.go
+++ b/decisions/planner/filter.go
@@ -18,7 +18,7 @@
 // isUsable answers load on workers that are leaving, silent, failing, or in an evacuated zone, and keeps the
 // workers that are held for gangs.
 func isUsable(ro *round, ca *candidate, sl *slot) bool {
-	return (!sl.held || ro.backfills(ca, sl)) && sl.worker.Usable && sl.worker.Pool == ca.queue.Pool
+	return (!sl.held || ro.backfills(ca, sl)) && sl.worker.Usable && sl.worker.Pool == ca.terms.Pool
 }
 
 // isLarge answers tasks that are larger than some workers.
--- a/decisions/planner/order.go
+++ b/decisions/planner/order.go
@@ -33,7 +33,7 @@
 // least slack first for work on time, otherwise the least work first, so that many jobs end
 // soon.
 func (ro *round) timeliness(ca candidate) (lateness, float64) {
-	if ca.queue.SlowdownFactor == 0 {
+	if ca.terms.SlowdownFactor == 0 {
 		return onTime, 0
 	}
 	total, remaining := ro.chain(ca)
@@ -42,7 +42,7 @@
 		step := &ca.job.Steps[i]
 		work += coresOf(step.Request) * float64(step.Count) * float64(ro.expected(ca.job, i))
 	}
-	objective := clock.Millis(ca.queue.SlowdownFactor*float64(total)) + ca.queue.Objective
+	objective := clock.Millis(ca.terms.SlowdownFactor*float64(total)) + ca.terms.Objective
 	ends := ro.in.WaitTime(ca.job.ID) + remaining
 	switch {
 	case ends <= objective:
@@ -76,7 +76,7 @@
 // waves returns the number of waves in which the tasks of a step run, which is above 1 if
 // the step is too wide to run at the same time.
 func (ro *round) waves(ca candidate, step *workload.Step) int {
-	available := waveFraction * float64(ro.accelerators[ca.queue.Pool])
+	available := waveFraction * float64(ro.accelerators[ca.terms.Pool])
 	if available <= 0 || step.Gang {
 		return 1
 	}
--- a/decisions/planner/pace.go
+++ b/decisions/planner/pace.go
@@ -64,12 +64,12 @@
 
 // paceOf answers urgent work on uneven workers: it returns what the candidate loses on slow ones.
 func (ro *round) paceOf(ca candidate) pace {
-	if !ro.uneven || ca.queue.SlowdownFactor == 0 || ca.step.LongRunning {
+	if !ro.uneven || ca.terms.SlowdownFactor == 0 || ca.step.LongRunning {
 		return pace{}
 	}
 	total, remaining := ro.chain(ca)
 	ran := ro.expected(ca.job, ca.stage.Step)
-	objective := clock.Millis(ca.queue.SlowdownFactor*float64(total)) + ca.queue.Objective
+	objective := clock.Millis(ca.terms.SlowdownFactor*float64(total)) + ca.terms.Objective
 	waited := ro.in.WaitTime(ca.job.ID)
 	if waited+remaining > lateFactor*objective {
 		return pace{} // it is of no use any more
@@ -120,8 +120,8 @@
 // reserveCost answers other work on the workers that urgent work needs: it prefers the slow ones, where its
 // own objective leaves the time.
 func (ro *round) reserveCost(ca candidate, sl *slot) float64 {
-	tightest := ro.tightest[ca.queue.Pool]
-	if ca.queue.Priority == 0 || tightest == 0 || sl.worker.doubtful() == 1 {
+	tightest := ro.tightest[ca.terms.Pool]
+	if ca.terms.Priority == 0 || tightest == 0 || sl.worker.doubtful() == 1 {
 		return 0
 	}
 	return reserveMillis * (meets(tightest, sl.worker.doubtful()) - meets(tightest, 1))
--- a/decisions/planner/planner.go
+++ b/decisions/planner/planner.go
@@ -41,21 +41,6 @@
 		Deviation float64
 	}
 
-	// Queue holds the scheduling parameters of a queue.
-	Queue struct {
-		Pool identifier.Pool
-		// Priority is the priority of the queue; 0 is the highest and may preempt the
-		// others.
-		Priority int
-		// MaxAttempts is the maximum number of failed runs of a task; 0 means no limit.
-		MaxAttempts int
-		// SlowdownFactor and Objective define the time objective of a job: SlowdownFactor
-		// times the run time of its work, plus Objective. SlowdownFactor 0 means that the
-		// queue has no objective.
-		SlowdownFactor float64
-		Objective      clock.Millis
-	}
-
 	// Tuning holds the parameters of the placement decisions.
 	Tuning struct {
 		// HeadroomDeviations sets the headroom for urgent work: the mean of its demand plus
@@ -98,7 +83,8 @@
 		// Jobs holds the unfinished jobs in order of acceptance.
 		Jobs    []*workload.Job
 		Workers []Worker
-		Queues  map[identifier.Queue]Queue
+		// Queues holds the terms of the queues of the configuration in force.
+		Queues map[identifier.Queue]workload.Terms
 		// Guarantees holds the number of accelerators that are guaranteed to each workspace
 		// for its work of priority 0.
 		Guarantees map[identifier.Workspace]meter.Accelerators
@@ -176,7 +162,7 @@
 		job     *workload.Job
 		stage   *workload.Stage
 		step    *workload.Step
-		queue   Queue
+		terms   workload.Terms
 		rank    int
 		indexes []int
 		order   int
@@ -194,6 +180,13 @@
 // New returns a planner with the given tuning.
 func New(tu Tuning) *Planner { return &Planner{tu: tu} }
 
+// TermsOf returns the terms that apply to a job. It returns false if none are known, and no task of the job is
+// started then.
+func (in *Input) TermsOf(jo *workload.Job) (workload.Terms, bool) {
+	te, present := in.Queues[jo.Queue]
+	return jo.TermsIn(te, present)
+}
+
 // Plan makes a plan. It does not modify the input.
 func (pl *Planner) Plan(in Input) Plan {
 	ro := newRound(pl.tu, in)
@@ -209,7 +202,7 @@
 func (ro *round) candidates() []candidate {
 	var all []candidate
 	for order, jo := range ro.in.Jobs {
-		qu, known := ro.in.Queues[jo.Queue]
+		te, known := ro.in.TermsOf(jo)
 		if jo.State.Final() || !known {
 			continue
 		}
@@ -219,8 +212,8 @@
 				continue
 			}
 			ca := candidate{
-				job: jo, stage: st, step: jo.StepOf(st), queue: qu,
-				rank: ro.rank(jo, qu), indexes: indexes, order: order,
+				job: jo, stage: st, step: jo.StepOf(st), terms: te,
+				rank: ro.rank(jo, te), indexes: indexes, order: order,
 			}
 			if ro.tu.OrderByObjective && ca.rank != rankGuaranteed {
 				ca.group, ca.sortKey = ro.timeliness(ca)
@@ -271,11 +264,11 @@
 }
 
 // rank returns the rank of a job's work.
-func (ro *round) rank(jo *workload.Job, qu Queue) int {
-	if qu.Priority == 0 && ro.covered[jo.ID] {
+func (ro *round) rank(jo *workload.Job, te workload.Terms) int {
+	if te.Priority == 0 && ro.covered[jo.ID] {
 		return rankGuaranteed
 	}
-	return rankBase + qu.Priority
+	return rankBase + te.Priority
 }
 
 // coveredJobs returns the jobs that the guarantees of their workspaces cover: those
@@ -287,7 +280,7 @@
 		left[ws] = most
 	}
 	for _, jo := range in.Jobs {
-		if qu, known := in.Queues[jo.Queue]; !known || qu.Priority != 0 || jo.State.Final() {
+		if te, known := in.TermsOf(jo); !known || te.Priority != 0 || jo.State.Final() {
 			continue
 		}
 		if need := jo.PeakAccelerators(); need <= left[jo.Workspace] {
--- a/decisions/planner/reserve.go
+++ b/decisions/planner/reserve.go
@@ -47,7 +47,7 @@
 // can still be in time.
 func (ro *round) longestHold(ca candidate) clock.Millis {
 	longest := ro.expected(ca.job, ca.stage.Step)
-	if group, slack := ro.timeliness(ca); group == onTime && ca.queue.SlowdownFactor > 0 {
+	if group, slack := ro.timeliness(ca); group == onTime && ca.terms.SlowdownFactor > 0 {
 		longest = min(longest, clock.Millis(slack))
 	}
 	return longest
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -116,11 +116,14 @@
 		sl.position = i
 	}
 	for _, jo := range in.Jobs {
-		qu := in.Queues[jo.Queue]
-		rank := ro.rank(jo, qu)
+		te, known := in.TermsOf(jo)
+		rank := rankGuaranteed // what could not be started again is not stopped
+		if known {
+			rank = ro.rank(jo, te)
+		}
 		jo.EachHeld(func(st *workload.Stage, index int, ta *workload.Task) {
-			if qu.Priority == 0 {
-				ro.urgentInUse[qu.Pool] += jo.StepOf(st).Request.Accelerators
+			if known && te.Priority == 0 {
+				ro.urgentInUse[te.Pool] += jo.StepOf(st).Request.Accelerators
 			}
 			ro.occupy(run{job: jo, stage: st, index: index, rank: rank}, ta)
 		})
@@ -166,7 +169,7 @@
 	if need == 0 {
 		return false
 	}
-	for at, slots := range ro.freeCounts[ca.queue.Pool] {
+	for at, slots := range ro.freeCounts[ca.terms.Pool] {
 		if count -= slots * (at / need); count <= 0 {
 			return false
 		}
@@ -234,7 +237,7 @@
 	}
 	ca.suspect = ca.stage.Suspect(indexes[0], ca.step.Gang)
 	cannotFit := ro.cannotFit(ca, len(indexes))
-	mayPreempt := ca.queue.Priority == 0 && ro.preemptionSearches < maxPreemptionSearches
+	mayPreempt := ca.terms.Priority == 0 && ro.preemptionSearches < maxPreemptionSearches
 	mayHold := ca.step.Gang && ro.holdSearches < maxHoldSearches && !ro.holdLimitReached(0)
 	if cannotFit && !mayPreempt && !mayHold {
 		return false
@@ -287,7 +290,7 @@
 	if li == nil {
 		return true
 	}
-	urgent := ca.queue.Priority == 0
+	urgent := ca.terms.Priority == 0
 	most := li.Normal
 	if urgent {
 		most = li.Urgent
@@ -305,10 +308,10 @@
 // leavesHeadroom reports whether the tasks leave enough accelerators free for expected
 // urgent work, so that it need not preempt other work.
 func (ro *round) leavesHeadroom(ca candidate, count int) bool {
-	if ca.queue.Priority == 0 || ro.tu.HeadroomDeviations == 0 {
+	if ca.terms.Priority == 0 || ro.tu.HeadroomDeviations == 0 {
 		return true
 	}
-	pool := ca.queue.Pool
+	pool := ca.terms.Pool
 	deviations, most := ro.headroomOf(ca)
 	limit := most * float64(ro.accelerators[pool])
 	de := ro.in.Demand[pool]
@@ -330,8 +333,8 @@
 func (ro *round) start(ca candidate, indexes []int, found []*slot) {
 	ro.reserve(ca, found)
 	ro.starts += len(found)
-	if ca.queue.Priority == 0 {
-		ro.urgentInUse[ca.queue.Pool] += meter.Accelerators(len(found)) * ca.step.Request.Accelerators
+	if ca.terms.Priority == 0 {
+		ro.urgentInUse[ca.terms.Pool] += meter.Accelerators(len(found)) * ca.step.Request.Accelerators
 	}
 	places := make([]Placement, len(indexes))
 	for i, index := range indexes {
@@ -391,7 +394,7 @@
 	switch {
 	case ca.rank == rankGuaranteed:
 		most = minRackWait
-	case ca.queue.Priority == 0:
+	case ca.terms.Priority == 0:
 		most = min(most, maxUrgentRackWait)
 	}
 	return ro.in.WaitTime(ca.job.ID) < most
--- a/decisions/planner/value.go
+++ b/decisions/planner/value.go
@@ -44,7 +44,8 @@
 	if stops := earlierStops(ru) - freeStops; stops > 0 && !step.Checkpointing {
 		lost += float64(stops) * float64(ro.expected(ru.job, ru.stage.Step))
 	}
-	victim := candidate{job: ru.job, stage: ru.stage, step: step, queue: ro.in.Queues[ru.job.Queue]}
+	terms, _ := ro.in.TermsOf(ru.job)
+	victim := candidate{job: ru.job, stage: ru.stage, step: step, terms: terms}
 	if group, _ := ro.timeliness(victim); group == late && !step.Checkpointing {
 		lost += (1 - lateValue) * float64(ro.expected(ru.job, ru.stage.Step))
 	}
@@ -104,7 +105,7 @@
 // It returns how much headroom the tasks have to leave: the deviations of the demand, and the limit as a
 // fraction of the pool. Room that urgent work asks for again and again is lent to what ends or saves soon.
 func (ro *round) headroomOf(ca candidate) (deviations, limit float64) {
-	if ro.tu.UnsavedDeviations == 0 || ca.queue.SlowdownFactor == 0 || !ca.step.Gang || ca.step.Checkpointing {
+	if ro.tu.UnsavedDeviations == 0 || ca.terms.SlowdownFactor == 0 || !ca.step.Gang || ca.step.Checkpointing {
 		return ro.tu.HeadroomDeviations, ro.tu.MaxHeadroom
 	}
 	if group, _ := ro.timeliness(ca); group == overdue {
--- a/decisions/policy/policy.go
+++ b/decisions/policy/policy.go
@@ -5,6 +5,7 @@
 import (
 	"strings"
 
+	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
 	"github.com/wagtailcroft/wagtailcroft/shared/meter"
@@ -34,8 +35,6 @@
 		byHost map[string][]int
 		// owners maps each API key to its workspace.
 		owners map[string]identifier.Workspace
-		// needsAdvice means that at least one queue needs placement advice.
-		needsAdvice bool
 	}
 
 	// Queue is a queue of jobs and the routing and limits of the calls to it.
@@ -100,7 +99,6 @@
 		qu := &po.Queues[i]
 		po.byName[qu.Name] = i
 		po.byHost[qu.Host] = append(po.byHost[qu.Host], i)
-		po.needsAdvice = po.needsAdvice || qu.NeedsAdvice
 	}
 	for _, ws := range po.Workspaces {
 		for _, key := range ws.APIKeys {
@@ -110,9 +108,6 @@
 	return po
 }
 
-// NeedsAdvice reports whether at least one queue needs placement advice.
-func (po *Policy) NeedsAdvice() bool { return po.needsAdvice }
-
 // Route returns the queue for a call, which is the one with the call's host and the longest
 // matching path prefix, and the rest of the path. It returns nil if no queue matches.
 func (po *Policy) Route(host, path string) (*Queue, string) {
@@ -144,6 +139,22 @@
 	return &po.Queues[i]
 }
 
+// Terms returns the scheduling parameters of the queue.
+func (qu *Queue) Terms() workload.Terms {
+	return workload.Terms{
+		Pool: qu.Pool, Priority: qu.Priority, MaxAttempts: qu.MaxAttempts, SlowdownFactor: qu.SlowdownFactor, Objective: qu.Objective, NeedsAdvice: qu.NeedsAdvice,
+	}
+}
+
+// TermsOf returns the terms of a job: those of its queue or, once there is no queue of that name, those under
+// which it was accepted. It returns false if neither are known.
+func (po *Policy) TermsOf(jo *workload.Job) (workload.Terms, bool) {
+	if qu := po.Queue(jo.Queue); qu != nil {
+		return jo.TermsIn(qu.Terms(), true)
+	}
+	return jo.TermsIn(workload.Terms{}, false)
+}
+
 // Access authorizes a call and finds its queue. A call without an API key has an empty key; an unknown key
 // is refused at each queue, because it may have been taken away. Errors are of the kinds NotFound and
 // BadToken.
--- a/decisions/workload/workload.go
+++ b/decisions/workload/workload.go
@@ -118,10 +118,29 @@
 		MaxUnavailable int
 	}
 
+	// Terms are the parameters of a queue by which its jobs are scheduled.
+	Terms struct {
+		// Pool is the pool whose workers run the jobs.
+		Pool identifier.Pool
+		// Priority is the priority of the jobs; 0 is the highest and may preempt the others.
+		Priority int
+		// MaxAttempts is the maximum number of failed runs of a task; 0 means no limit.
+		MaxAttempts int
+		// SlowdownFactor and Objective define the time objective of a job: SlowdownFactor times the run
+		// time of its work, plus Objective. SlowdownFactor 0 means that there is no objective.
+		SlowdownFactor float64
+		Objective      clock.Millis
+		// NeedsAdvice means that an advice service decides which workers may run a step.
+		NeedsAdvice bool
+	}
+
 	// Job is a submitted job and its progress.
 	Job struct {
-		ID        identifier.Job
-		Queue     identifier.Queue
+		ID    identifier.Job
+		Queue identifier.Queue
+		// Terms are those of the queue when the job was accepted. They apply once the configuration has no
+		// queue of that name. Jobs that an earlier version accepted have none, and an empty pool.
+		Terms     Terms
 		Workspace identifier.Workspace
 		// Payload is passed to the workers unchanged.
 		Payload string
@@ -264,6 +283,15 @@
 	return fmt.Sprintf("%s.%d.%d.%d", tk.Job, tk.Occurrence, tk.Step, tk.Index)
 }
 
+// TermsIn returns the terms that apply to the job under a configuration: those of its queue if that is present,
+// otherwise those of its acceptance. It returns false if neither are known.
+func (jo *Job) TermsIn(queue Terms, present bool) (Terms, bool) {
+	if present {
+		return queue, true
+	}
+	return jo.Terms, jo.Terms.Pool != ""
+}
+
 // StepOf returns the step of a stage.
 func (jo *Job) StepOf(st *Stage) *Step { return &jo.Steps[st.Step] }
 
--- a/shared/gen/ledger/ledger.go
+++ b/shared/gen/ledger/ledger.go
@@ -218,6 +218,9 @@
 	Queue   string `json:"queue"`
 	Steps   []Step `json:"steps"`
 
+	// Terms Scheduling parameters of the queue when the job was accepted. They apply once no queue of that name is left; empty in rows of earlier versions.
+	Terms Terms `json:"terms,omitempty"`
+
 	// Workspace Identifies a workspace, 1 to 63 characters.
 	Workspace externalRef0.WorkspaceID `json:"workspace"`
 }
@@ -252,6 +255,27 @@
 	Worker externalRef0.WorkerID `json:"worker,omitempty"`
 }
 
+// Terms Scheduling parameters of the queue when the job was accepted. They apply once no queue of that name is left; empty in rows of earlier versions.
+type Terms struct {
+	// NeedsAdvice An advice service decides which workers may run a step.
+	NeedsAdvice bool `json:"advice,omitempty"`
+
+	// MaxAttempts Maximum number of failed runs of a task; 0 means no limit.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+
+	// Objective Constant part of the time objective, in milliseconds.
+	Objective externalRef0.Millis `json:"objective,omitempty"`
+
+	// Pool Pool whose workers run the job.
+	Pool string `json:"pool,omitempty"`
+
+	// Priority Priority; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+
+	// SlowdownFactor Factor of the time objective; 0 means that there is none.
+	SlowdownFactor float64 `json:"slowdown,omitempty"`
+}
+
 // Wave Table waves, key N. Progress of a maintenance wave, written by the leader.
 type Wave struct {
 	// Accepted Machines whose maintenance certainly took place.
--- a/wagtailcroftd/controller/advice.go
+++ b/wagtailcroftd/controller/advice.go
@@ -5,7 +5,6 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/adviser"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
-	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
 	"github.com/wagtailcroft/wagtailcroft/shared/identifier"
@@ -17,12 +16,12 @@
 
 // advise requests advice for the steps that need it before they can start. It is called with mu
 // held.
-func (te *term) advise(in planner.Input, po *policy.Policy, now clock.Millis) {
-	if te.Advisers == nil || !po.NeedsAdvice() {
+func (te *term) advise(in planner.Input, now clock.Millis) {
+	if te.Advisers == nil {
 		return
 	}
 	for _, jo := range in.Jobs {
-		if qu := po.Queue(jo.Queue); qu == nil || !qu.NeedsAdvice || jo.State.Final() {
+		if terms, _ := in.TermsOf(jo); !terms.NeedsAdvice || jo.State.Final() {
 			continue
 		}
 		for _, st := range jo.Stages {
@@ -47,11 +46,12 @@
 
 // candidates lists the workers that could run a stage if the advice service approves them.
 func (te *term) candidates(in planner.Input, jo *workload.Job, st *workload.Stage) []adviser.Candidate {
-	step, pool := jo.StepOf(st), in.Queues[jo.Queue].Pool
+	step := jo.StepOf(st)
+	terms, _ := in.TermsOf(jo)
 	var all []adviser.Candidate
 	for i := range in.Workers {
 		wo := &in.Workers[i]
-		if !wo.Usable || wo.Pool != pool || !wo.Capacity.Fits(step.Reserved()) ||
+		if !wo.Usable || wo.Pool != terms.Pool || !wo.Capacity.Fits(step.Reserved()) ||
 			step.Requires != "" && !slices.Contains(wo.Labels, step.Requires) {
 			continue
 		}
@@ -86,14 +86,20 @@
 
 // workerFilter returns the planner's filter of the workers that may run a step; nil means that
 // all may.
-func (te *term) workerFilter(po *policy.Policy, now clock.Millis) func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
-	if te.Advisers == nil || !po.NeedsAdvice() {
+func (te *term) workerFilter(in planner.Input, now clock.Millis) func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
+	if te.Advisers == nil {
 		return nil
 	}
-	return func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
-		if qu := po.Queue(jo.Queue); qu == nil || !qu.NeedsAdvice {
-			return true
+	advised := map[identifier.Job]bool{}
+	for _, jo := range in.Jobs {
+		if terms, _ := in.TermsOf(jo); terms.NeedsAdvice {
+			advised[jo.ID] = true
 		}
-		return te.advice.Ticket(adviser.KeyOf(jo, st), id, te.workers[id].report.Incarnation, now) != ""
+	}
+	if len(advised) == 0 {
+		return nil
+	}
+	return func(jo *workload.Job, st *workload.Stage, id identifier.Worker) bool {
+		return !advised[jo.ID] || te.advice.Ticket(adviser.KeyOf(jo, st), id, te.workers[id].report.Incarnation, now) != ""
 	}
 }
--- a/wagtailcroftd/controller/commands.go
+++ b/wagtailcroftd/controller/commands.go
@@ -58,14 +58,10 @@
 	te.submitCommand(te.urgent(key.Job), pl, key.String(), func() { te.sendStart(wo, key, pl, submitted) })
 }
 
-// urgent reports whether the queue of a job has priority 0.
+// urgent reports whether a job has priority 0.
 func (te *term) urgent(id identifier.Job) bool {
-	po := te.Policies.Current()
-	if po == nil {
-		return false
-	}
-	qu := po.Queue(te.jobs[id].job.Queue)
-	return qu != nil && qu.Priority == 0
+	terms, known := te.termsOf(te.jobs[id].job)
+	return known && terms.Priority == 0
 }
 
 // prepareStart returns the start of a run whose turn has come, and the placement as it was before. It
@@ -136,11 +132,10 @@
 // ticketFor returns the ticket for a start, or an empty ticket where none is needed. It returns
 // false if a ticket is needed and there is no valid one.
 func (te *term) ticketFor(wo *worker, key workload.TaskKey, now clock.Millis) (string, bool) {
-	po := te.Policies.Current()
-	if te.Advisers == nil || po == nil {
+	if te.Advisers == nil {
 		return "", true
 	}
-	if qu := po.Queue(te.jobs[key.Job].job.Queue); qu == nil || !qu.NeedsAdvice {
+	if terms, _ := te.termsOf(te.jobs[key.Job].job); !terms.NeedsAdvice {
 		return "", true
 	}
 	ticket := te.advice.Ticket(adviceKey(key), wo.id, wo.report.Incarnation, now)
--- a/wagtailcroftd/controller/interference.go
+++ b/wagtailcroftd/controller/interference.go
@@ -331,11 +331,8 @@
 	if step.Checkpointing {
 		ru.Lost = min(ru.Lost, checkpointLoss)
 	}
-	advised := true
-	if qu := te.Policies.Current().Queue(en.job.Queue); qu != nil {
-		advised = qu.NeedsAdvice
-	}
-	ru.Movable = ta.Phase == workload.Running && pl.startedAt > 0 && ta.Run == 1 && !advised && !step.Gang && !step.LongRunning && step.MaxPerWorker == 0
+	terms, known := te.termsOf(en.job)
+	ru.Movable = ta.Phase == workload.Running && pl.startedAt > 0 && ta.Run == 1 && known && !terms.NeedsAdvice && !step.Gang && !step.LongRunning && step.MaxPerWorker == 0
 	return ru
 }
 
--- a/wagtailcroftd/controller/jobs.go
+++ b/wagtailcroftd/controller/jobs.go
@@ -92,13 +92,18 @@
 
 // learnSize records how many accelerators an urgent job needs at the same time.
 func (te *term) learnSize(jo *workload.Job) {
+	if terms, known := te.termsOf(jo); known && terms.Priority == 0 {
+		te.predictor.RecordArrival(terms.Pool, jo.PeakAccelerators())
+	}
+}
+
+// termsOf returns the terms that apply to a job. It returns false if none are known.
+func (te *term) termsOf(jo *workload.Job) (workload.Terms, bool) {
 	po := te.Policies.Current()
 	if po == nil {
-		return
-	}
-	if qu := po.Queue(jo.Queue); qu != nil && qu.Priority == 0 {
-		te.predictor.RecordArrival(qu.Pool, jo.PeakAccelerators())
+		return workload.Terms{}, false
 	}
+	return po.TermsOf(jo)
 }
 
 // Snapshot applies all cancellations.
--- a/wagtailcroftd/controller/round.go
+++ b/wagtailcroftd/controller/round.go
@@ -79,7 +79,7 @@
 	te.evacuate(now)
 	te.refreshPairs(now)
 	in := te.plannerInput(po, now)
-	te.advise(in, po, now)
+	te.advise(in, now)
 	pl := te.planner.Plan(in)
 	te.accountHeld(pl, now)
 	te.logLoad(in, pl, now)
@@ -133,9 +133,8 @@
 func (te *term) plannerInput(po *policy.Policy, now clock.Millis) planner.Input {
 	in := planner.Input{
 		Now:        now,
-		Queues:     make(map[identifier.Queue]planner.Queue, len(po.Queues)),
+		Queues:     make(map[identifier.Queue]workload.Terms, len(po.Queues)),
 		Guarantees: make(map[identifier.Workspace]meter.Accelerators, len(po.Workspaces)),
-		Allowed:    te.workerFilter(po, now),
 		ExpectedRunTime: func(jo *workload.Job, step int) clock.Millis {
 			return te.predictor.ExpectedRunTime(jo.Queue, jo.Steps[step].Estimate)
 		},
@@ -144,9 +143,7 @@
 	}
 	for i := range po.Queues {
 		qu := &po.Queues[i]
-		in.Queues[qu.Name] = planner.Queue{
-			Pool: qu.Pool, Priority: qu.Priority, MaxAttempts: qu.MaxAttempts, SlowdownFactor: qu.SlowdownFactor, Objective: qu.Objective,
-		}
+		in.Queues[qu.Name] = qu.Terms()
 	}
 	for _, ws := range po.Workspaces {
 		in.Guarantees[ws.Name] = ws.Guaranteed
@@ -156,12 +153,13 @@
 		if !en.job.State.Final() && en.job.AddDueStages(timeOfDay) > 0 && len(en.job.Stages) == 0 {
 			continue
 		}
-		if qu, known := in.Queues[en.job.Queue]; known && en.job.FailIfExhausted(qu.MaxAttempts) {
+		if terms, known := in.TermsOf(en.job); known && en.job.FailIfExhausted(terms.MaxAttempts) {
 			en.dirty = true
 			te.log.Info().Str("job", string(en.job.ID)).Str("state", en.job.State.String()).Str("why", en.job.Reason).Msg("jobEnded")
 		}
 		in.Jobs = append(in.Jobs, en.job)
 	}
+	in.Allowed = te.workerFilter(in, now)
 	in.Costs = append(in.Costs, te.separationCosts()...)
 	in.Demand = te.urgentDemand(in)
 	in.Starts = te.startLimit()
@@ -194,14 +192,16 @@
 // urgentDemand returns the recent resource demand of urgent work in each pool.
 func (te *term) urgentDemand(in planner.Input) map[identifier.Pool]planner.Demand {
 	used := map[identifier.Pool]meter.Accelerators{}
-	for _, qu := range in.Queues {
-		if qu.Priority == 0 {
-			used[qu.Pool] = 0
+	for _, terms := range in.Queues {
+		if terms.Priority == 0 {
+			used[terms.Pool] = 0
 		}
 	}
 	for _, jo := range in.Jobs {
-		if qu, known := in.Queues[jo.Queue]; known && qu.Priority == 0 {
-			jo.EachHeld(func(st *workload.Stage, _ int, _ *workload.Task) { used[qu.Pool] += jo.StepOf(st).Request.Accelerators })
+		if terms, known := in.TermsOf(jo); known && terms.Priority == 0 {
+			jo.EachHeld(func(st *workload.Stage, _ int, _ *workload.Task) {
+				used[terms.Pool] += jo.StepOf(st).Request.Accelerators
+			})
 		}
 	}
 	demand := make(map[identifier.Pool]planner.Demand, len(used))
--- a/wagtailcroftd/controller/speeds.go
+++ b/wagtailcroftd/controller/speeds.go
@@ -5,7 +5,6 @@
 
 	"github.com/wagtailcroft/wagtailcroft/decisions/gauger"
 	"github.com/wagtailcroft/wagtailcroft/decisions/planner"
-	"github.com/wagtailcroft/wagtailcroft/decisions/policy"
 	"github.com/wagtailcroft/wagtailcroft/decisions/throttler"
 	"github.com/wagtailcroft/wagtailcroft/decisions/workload"
 	"github.com/wagtailcroft/wagtailcroft/shared/clock"
@@ -230,7 +229,7 @@
 
 // explainSpeed describes the slowest worker of a stage that is at work, and whether the job misses its
 // objective because of it. It is empty if no worker is known to be slow.
-func (te *term) explainSpeed(jo *workload.Job, st *workload.Stage, qu *policy.Queue) string {
+func (te *term) explainSpeed(jo *workload.Job, st *workload.Stage, terms workload.Terms) string {
 	now := te.Clock.Now()
 	var slowest *worker
 	var known gauger.Gauge
@@ -246,8 +245,8 @@
 	}
 	text := fmt.Sprintf("; the slowest worker, %s, takes %.0f%% of the usual time, known from %d runs", slowest.id, 100*known.Factor, known.Runs)
 	ran := te.predictor.ExpectedRunTime(jo.Queue, jo.StepOf(st).Estimate)
-	objective := clock.Millis(qu.SlowdownFactor*float64(ran)) + qu.Objective
-	if len(jo.Steps) == 1 && qu.SlowdownFactor > 0 && ran <= objective && clock.Millis(float64(ran)*known.Factor) > objective {
+	objective := clock.Millis(terms.SlowdownFactor*float64(ran)) + terms.Objective
+	if len(jo.Steps) == 1 && terms.SlowdownFactor > 0 && ran <= objective && clock.Millis(float64(ran)*known.Factor) > objective {
 		text += ": the job is late because of slow workers"
 	}
 	return text
--- a/wagtailcroftd/controller/view.go
+++ b/wagtailcroftd/controller/view.go
@@ -64,7 +64,8 @@
 		Urgent bool
 		// Waited is the time since this leader learned of the job.
 		Waited clock.Millis
-		// Why says for each step what it waits for, or how far it has progressed.
+		// Why says for each step what it waits for, or how far it has progressed, and last whether the queue is
+		// gone.
 		Why []string
 	}
 
@@ -143,19 +144,22 @@
 		copied.Tasks = slices.Clone(st.Tasks)
 		view.Job.Stages = append(view.Job.Stages, &copied)
 	}
-	qu := po.Queue(en.job.Queue)
-	if qu == nil {
-		view.Why = []string{fmt.Sprintf("queue %s is no longer in the configuration", en.job.Queue)}
+	terms, known := po.TermsOf(en.job)
+	if !known {
+		view.Why = []string{fmt.Sprintf("queue %s is no longer in the configuration, and the terms of the job's acceptance were not recorded: configure a queue of that name", en.job.Queue)}
 		return view
 	}
-	view.Urgent = qu.Priority == 0
-	pool := workersInPool(workers, qu.Pool)
+	view.Urgent = terms.Priority == 0
+	pool := workersInPool(workers, terms.Pool)
 	for _, st := range en.job.Stages {
-		view.Why = append(view.Why, te.explainStage(en.job, st, qu, pool))
+		view.Why = append(view.Why, te.explainStage(en.job, st, terms, pool))
 	}
 	if len(en.job.Stages) == 0 {
 		view.Why = []string{"the next occurrence is not due yet"}
 	}
+	if po.Queue(en.job.Queue) == nil {
+		view.Why = append(view.Why, fmt.Sprintf("queue %s is no longer in the configuration; the terms of the job's acceptance apply: pool %s, priority %d", en.job.Queue, terms.Pool, terms.Priority))
+	}
 	return view
 }
 
@@ -171,7 +175,7 @@
 }
 
 // explainStage describes what a stage waits for, or how far it has progressed.
-func (te *term) explainStage(jo *workload.Job, st *workload.Stage, qu *policy.Queue, pool []WorkerView) string {
+func (te *term) explainStage(jo *workload.Job, st *workload.Stage, terms workload.Terms, pool []WorkerView) string {
 	step := jo.StepOf(st)
 	var waiting, held, done int
 	for i := range st.Tasks {
@@ -191,8 +195,8 @@
 	case !jo.Ready(st):
 		return fmt.Sprintf("%s: waiting for steps %v to complete", name, step.After)
 	case waiting == 0:
-		return fmt.Sprintf("%s: %d tasks running, %d done%s", name, held, done, te.explainSpeed(jo, st, qu))
-	case qu.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
+		return fmt.Sprintf("%s: %d tasks running, %d done%s", name, held, done, te.explainSpeed(jo, st, terms))
+	case terms.NeedsAdvice && te.Advisers != nil && te.advice.Approved(adviser.KeyOf(jo, st)) == 0:
 		return fmt.Sprintf("%s: %d tasks waiting for the advice service to approve workers", name, waiting)
 	}
 	return fmt.Sprintf("%s: %d tasks running, %d done, %d waiting for %s", name, held, done, waiting, describeCapacity(step, pool)+te.describeHolders(pool)+te.describeEvacuations(step, pool))
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -306,17 +306,12 @@
 	if en == nil {
 		return
 	}
-	attempts := 0
-	if po := te.Policies.Current(); po != nil {
-		if qu := po.Queue(en.job.Queue); qu != nil {
-			attempts = qu.MaxAttempts
-		}
-	}
+	terms, _ := te.termsOf(en.job)
 	state := en.job.State
 	st, ta := en.job.Task(key)
 	earlier := ta != nil && co.Run < ta.Run && co.Outcome == workload.OutcomeDone
 	co.At = te.Clock.Now()
-	if ta == nil || ta.Worker != wo.id && !earlier || !en.job.CompleteRun(key, co, attempts) {
+	if ta == nil || ta.Worker != wo.id && !earlier || !en.job.CompleteRun(key, co, terms.MaxAttempts) {
 		return
 	}
 	en.dirty = true
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -151,6 +151,7 @@
 // Submit stores a job. A job that is already stored counts as accepted. An error with the
 // outcome NotRun is definite: the job is not stored and will not be.
 func (in *Intake) Submit(ctx context.Context, ac policy.Access, jo *workload.Job) error {
+	jo.Queue, jo.Terms, jo.Workspace = ac.Queue.Name, ac.Queue.Terms(), ac.Workspace
 	if err := recorder.CheckSize(jo, in.rowLimit); err != nil {
 		in.metrics.Count("submits", outcome(err))
 		in.log.Info().Str("job", string(jo.ID)).Str("queue", string(ac.Queue.Name)).Str("workspace", string(ac.Workspace)).
@@ -160,7 +161,7 @@
 	if in.inOutage() || !in.awaitOverdue(ctx) {
 		return in.unavailable("the store failed recently or has not answered a previous write")
 	}
-	jo.Queue, jo.Workspace, jo.AcceptedAt = ac.Queue.Name, ac.Workspace, in.cl.TimeOfDay()
+	jo.AcceptedAt = in.cl.TimeOfDay()
 	jobs, ended := recorder.JobKey(recorder.Jobs, jo.ID), recorder.JobKey(recorder.EndedJobs, jo.ID)
 	tr := rowstore.Transaction{
 		Preconditions: []rowstore.Precondition{{Key: in.configKey, Version: ac.Version}, {Key: jobs}, {Key: ended}},
--- a/wagtailcroftd/recorder/recorder.go
+++ b/wagtailcroftd/recorder/recorder.go
@@ -62,6 +62,10 @@
 	su := ledger.Submission{
 		Queue: string(jo.Queue), Workspace: jo.Workspace, Payload: jo.Payload, AcceptedAt: jo.AcceptedAt,
 		FirstDue: jo.FirstDue, Interval: jo.Interval, Occurrences: jo.Occurrences,
+		Terms: ledger.Terms{
+			Pool: string(jo.Terms.Pool), Priority: jo.Terms.Priority, MaxAttempts: jo.Terms.MaxAttempts,
+			SlowdownFactor: jo.Terms.SlowdownFactor, Objective: jo.Terms.Objective, NeedsAdvice: jo.Terms.NeedsAdvice,
+		},
 	}
 	for i := range jo.Steps {
 		su.Steps = append(su.Steps, encodeStep(&jo.Steps[i]))
@@ -146,6 +150,10 @@
 	jo := &workload.Job{
 		ID: id, Queue: identifier.Queue(su.Queue), Workspace: su.Workspace, Payload: su.Payload, AcceptedAt: su.AcceptedAt,
 		FirstDue: su.FirstDue, Interval: su.Interval, Occurrences: su.Occurrences, Reason: pr.Reason,
+		Terms: workload.Terms{
+			Pool: identifier.Pool(su.Terms.Pool), Priority: su.Terms.Priority, MaxAttempts: su.Terms.MaxAttempts,
+			SlowdownFactor: su.Terms.SlowdownFactor, Objective: su.Terms.Objective, NeedsAdvice: su.Terms.NeedsAdvice,
+		},
 	}
 	for _, st := range su.Steps {
 		jo.Steps = append(jo.Steps, decodeStep(st))
--- a/wagtailcroftd/recorder/recorder_test.go
+++ b/wagtailcroftd/recorder/recorder_test.go
@@ -20,6 +20,7 @@
 func TestJob(t *testing.T) {
 	jo := &workload.Job{
 		ID: "5c0e7a21d94b36f8", Queue: "qu", Workspace: "ws", Payload: "p", AcceptedAt: 5, Occurrences: 2, FirstDue: 10, Interval: 10,
+		Terms: workload.Terms{Pool: "po", Priority: 1, MaxAttempts: 2, SlowdownFactor: 1.5, Objective: 250, NeedsAdvice: true},
 		Steps: []workload.Step{
 			{Count: 20, Request: workload.Resources{CPU: 1, Memory: 2, Accelerators: 3}, Gang: true, SameRack: true, Checkpointing: true},
 			{Count: 1, After: []int{0}, Requires: "l", DataRack: "r", MaxPerWorker: 2, LongRunning: true, Image: "i", TailLatencyTarget: 4, MaxUnavailable: 1},
@@ -39,6 +40,14 @@
 			t.Fatalf("got %+v, want %+v", got, jo)
 		}
 	})
+	t.Run("rows that name no terms are read", func(t *testing.T) {
+		su := recorder.EncodeSubmission(jo)
+		su.Terms = ledger.Terms{}
+		got, err := recorder.DecodeJob(jo.ID, su, recorder.EncodeProgress(jo, 0))
+		asserter.NoError(t, err)
+		_, known := got.TermsIn(workload.Terms{}, false)
+		asserter.Equal(t, known, false)
+	})
 	t.Run("stages without started tasks are omitted", func(t *testing.T) {
 		asserter.Equal(t, len(recorder.EncodeProgress(jo, 0).Stages), 1)
 	})
