Count a job as pending until a worker has confirmed a start

Cause: a job counted as started once a run was recorded, which happens before its start leaves; a start that is refused or given up leaves the run number behind. Change: NeverStarted asks for a confirmed start: the state of the job, which is in its row, so that a new leader counts the same. The answer to a start, a listed run and a listed end all set it. Before, a job whose run began and ended behind a lost answer stayed queued.

--- a/decisions/workload/transitions.go
+++ b/decisions/workload/transitions.go
@@ -212,14 +212,24 @@
 	return true
 }
 
-// NeverStarted reports whether no run was ever recorded for any task of the job.
+// RecordStart records that a worker has started a task of the job. It reports whether the job changed.
+func (jo *Job) RecordStart() bool {
+	if jo.State != Queued {
+		return false
+	}
+	jo.State = Active
+	return true
+}
+
+// NeverStarted reports whether no worker is known to have started a task of the job. A run that is only recorded
+// may be refused, or be given up before it is sent.
 func (jo *Job) NeverStarted() bool {
-	if jo.Open() < jo.Due {
+	if jo.State != Queued || jo.Open() < jo.Due {
 		return false
 	}
 	for _, st := range jo.Stages {
 		for i := range st.Tasks {
-			if st.Tasks[i].Run > 0 {
+			if phase := st.Tasks[i].Phase; phase == Running || phase == Done {
 				return false
 			}
 		}
--- a/wagtailcroftd/controller/poll.go
+++ b/wagtailcroftd/controller/poll.go
@@ -202,6 +202,10 @@
 // applyRunning applies the status of a run in progress. A run that no job places here becomes an
 // orphan.
 func (te *term) applyRunning(wo *worker, ru fleet.Running, now clock.Millis) {
+	en := te.jobs[ru.Task.Job]
+	if en != nil {
+		en.noteStart()
+	}
 	pl := wo.runs[ru.Task]
 	if pl == nil || pl.run != ru.Run {
 		if orphan := wo.orphans[ru.Task]; orphan == nil || orphan.run != ru.Run {
@@ -210,7 +214,6 @@
 		}
 		return
 	}
-	en := te.jobs[ru.Task.Job]
 	_, ta := en.job.Task(ru.Task)
 	ta.Progress = ru.Progress
 	pl.progress.Report(now, ru.Progress)
@@ -233,12 +236,15 @@
 	if !pl.resumed && !pl.inherited {
 		pl.progress.Start(now)
 	}
-	if ta.Phase != workload.Starting {
-		return
+	en.noteStart()
+	if ta.Phase == workload.Starting {
+		ta.Phase, ta.PlacedAt = workload.Running, now
 	}
-	ta.Phase, ta.PlacedAt = workload.Running, now
-	if en.job.State == workload.Queued {
-		en.job.State = workload.Active
+}
+
+// noteStart notes that a worker has started a task of the job.
+func (en *entry) noteStart() {
+	if en.job.RecordStart() {
 		en.dirty = true
 	}
 }
--- a/wagtailcroftd/controller/worker.go
+++ b/wagtailcroftd/controller/worker.go
@@ -306,6 +306,9 @@
 	if en == nil {
 		return
 	}
+	if proof == assessor.Listed || proof == assessor.ToldByLeader {
+		en.noteStart() // workers list the ends of runs that they have started
+	}
 	terms, _ := te.termsOf(en.job)
 	state := en.job.State
 	st, ta := en.job.Task(key)
