Write the counts of pending jobs at the start of each leader term

Callers got a count that was too high, without a limit of time: the property that compares counts with the starts that the stand-in has seen found it. Cause: a new leader took the row of counts for empty and wrote it only when its own counts were not. If the last pending job had gone between two leaders, the old count stayed. Change: a leader writes the counts once at the start of its term. It logs pendingCountsRecorded, and an instance logs pendingAnswered with the version and the age of what it answers from, so that a wrong count can be traced. Evidence: TestPendingJobs "a new leader corrects a count" failed before with 1 instead of 0, TestPendingJobsAlways in its first draws; both pass.

--- a/standin/fleet/cluster.go
+++ b/standin/fleet/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -253,6 +254,18 @@
 	return cl.oracle.starts
 }
 
+// HasStarted reports whether a runner has started a task of a job.
+func (cl *Cluster) HasStarted(job string) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for unit := range cl.oracle.lastStart {
+		if strings.HasPrefix(unit, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // AloneCount returns how many runs have ended because the other members of their gang did not start in
 // time.
 func (cl *Cluster) AloneCount() int {
--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -108,7 +108,7 @@
 			ba.completions[wo] = completionID{incarnation: wo.answeredAs, number: wo.applied}
 		}
 	}
-	if counts := te.countPending(); te.loaded && now-te.countedAt >= countsInterval && !maps.Equal(counts, te.pendingCounts) {
+	if counts := te.countPending(); te.loaded && now-te.countedAt >= countsInterval && (te.pendingCounts == nil || !maps.Equal(counts, te.pendingCounts)) {
 		ba.counts = counts
 		te.countedAt = now
 	}
@@ -303,6 +303,7 @@
 	}
 	if wr.counts != nil {
 		te.pendingCounts = wr.counts
+		te.log.Info().Int64("version", int64(version)).Any("counts", wr.counts).Msg("pendingCountsRecorded")
 	}
 	for i := range wr.changes {
 		te.markChangeRecorded(&wr.changes[i], version)
--- a/wagtailcroftd/controller/term.go
+++ b/wagtailcroftd/controller/term.go
@@ -123,8 +123,9 @@
 		// confirmedAt is when the last successful commit under the fencing token was sent.
 		confirmedAt clock.Millis
 		permission
-		// pendingCounts is the content of the row of pending-job counts; countedAt is when
-		// counts were last added to a batch.
+		// pendingCounts is the content of the row of pending-job counts. It is nil until this leader has written
+		// the row, in which a former leader may have left other counts. countedAt is when counts were last added
+		// to a batch.
 		pendingCounts map[string]int
 		countedAt     clock.Millis
 		// busyWorkers is the number of workers that had runs at the last pass.
@@ -207,7 +208,6 @@
 		failedWorkers:   map[identifier.Job]map[identifier.Worker]bool{},
 		confirmedAt:     el.AcquiredAt(),
 		permission:      permission{renewedAt: el.AcquiredAt()},
-		pendingCounts:   map[string]int{},
 		marked:          map[*worker]struct{}{},
 		processorTime:   clock.ProcessorTime(),
 	}
--- a/wagtailcroftd/intake/intake.go
+++ b/wagtailcroftd/intake/intake.go
@@ -107,8 +107,9 @@
 		failedAt clock.Millis
 		// outageStart is when the current or the last outage began.
 		outageStart clock.Millis
-		// pending holds the pending-job counts that were read last.
-		pending ledger.PendingCounts
+		// pending holds the pending-job counts that were read last, and pendingVersion the version of their row.
+		pending        ledger.PendingCounts
+		pendingVersion meter.RowVersion
 		// pendingReadAt is when the read of pending began; 0 means never.
 		pendingReadAt clock.Millis
 	}
@@ -307,22 +308,24 @@
 func (in *Intake) PendingJobs(ctx context.Context, ac policy.Access) (int, error) {
 	now := in.cl.Now()
 	in.mu.Lock()
-	pending, age := in.pending, now-in.pendingReadAt
+	pending, version, readAt := in.pending, in.pendingVersion, in.pendingReadAt
 	in.mu.Unlock()
-	if age <= maxPendingAge {
-		return pending.Queues[string(ac.Queue.Name)], nil
-	}
-	row, err := in.read(ctx, recorder.PendingCountsKey)
-	if err != nil {
-		return 0, err
-	}
-	if row.Version > 0 {
-		if pending, err = recorder.Decode[ledger.PendingCounts](row); err != nil {
+	if now-readAt > maxPendingAge {
+		row, err := in.read(ctx, recorder.PendingCountsKey)
+		if err != nil {
 			return 0, err
 		}
+		if row.Version > 0 {
+			if pending, err = recorder.Decode[ledger.PendingCounts](row); err != nil {
+				return 0, err
+			}
+		}
+		version, readAt = row.Version, now
+		in.mu.Lock()
+		in.pending, in.pendingVersion, in.pendingReadAt = pending, version, readAt
+		in.mu.Unlock()
 	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.pending, in.pendingReadAt = pending, now
-	return pending.Queues[string(ac.Queue.Name)], nil
+	count := pending.Queues[string(ac.Queue.Name)]
+	in.log.Info().Str("queue", string(ac.Queue.Name)).Int("count", count).Int64("version", int64(version)).Int64("ageMillis", int64(in.cl.Now()-readAt)).Msg("pendingAnswered")
+	return count, nil
 }
