Do not take a search that avoids workers for a lack of room

Cause: a failed search marks its shape as one without room for the rest of the round, also when it left out the workers that the job avoids. Change: a search that avoids workers marks nothing. Evidence: TestAvoidedWorkers failed before (no job started, want one) and passes.

--- a/shared/placer/reserve.go
+++ b/shared/placer/reserve.go
@@ -213,14 +213,14 @@
 }
 
 // RunAvoiding runs fn with the given workers excluded from searches, unless a gang of the shape
-// could then never be placed.
-func (zo *Zone) RunAvoiding(ids []identifier.Worker, ws identifier.Workspace, sh Shape, fn func()) {
+// could then never be placed. It tells fn whether any are.
+func (zo *Zone) RunAvoiding(ids []identifier.Worker, ws identifier.Workspace, sh Shape, fn func(avoids bool)) {
 	excluded := zo.exclude(ids)
 	if len(excluded) > 0 && !zo.CanPlace(ws, sh) {
 		zo.include(excluded)
 		excluded = nil
 	}
-	fn()
+	fn(len(excluded) > 0)
 	zo.include(excluded)
 }
 
--- a/shared/scheduler/round.go
+++ b/shared/scheduler/round.go
@@ -29,8 +29,11 @@
 	// backfillBy is the earliest time at which a hold is expected to be needed; 0 means
 	// that there are no holds.
 	backfillBy clock.Millis
+	// avoids means that the job that is considered avoids workers on which it has failed.
+	avoids bool
 	// noCapacity and noCapacityHeld hold the shapes for which a search outside the holds,
-	// or including them, has failed, so that the round does not repeat it.
+	// or including them, has failed, so that the round does not repeat it. A search that avoids workers
+	// tells nothing about other jobs.
 	noCapacity     map[placer.Shape]bool
 	noCapacityHeld map[placer.Shape]bool
 }
@@ -46,7 +49,10 @@
 	ro := &round{Scheduler: sc, now: now, noCapacity: map[placer.Shape]bool{}, noCapacityHeld: map[placer.Shape]bool{}}
 	ro.collectHolds()
 	for _, jo := range sc.queue(now) {
-		ro.zone.RunAvoiding(jo.Avoid, jo.Workspace, jo.Shape, func() { ro.consider(jo) })
+		ro.zone.RunAvoiding(jo.Avoid, jo.Workspace, jo.Shape, func(avoids bool) {
+			ro.avoids = avoids
+			ro.consider(jo)
+		})
 	}
 	return ro.decisions
 }
@@ -188,14 +194,14 @@
 			ro.start(jo, pl)
 			return true
 		}
-		ro.noCapacity[jo.Shape] = ro.noCapacity[jo.Shape] || !holds
+		ro.noCapacity[jo.Shape] = ro.noCapacity[jo.Shape] || !holds && !ro.avoids
 	}
 	if holds || ro.noCapacityHeld[jo.Shape] || ro.now+jo.Expected > ro.backfillBy {
 		return false
 	}
 	pl, found := ro.zone.PlaceBackfill(jo.ID, jo.Workspace, jo.Shape)
 	if !found {
-		ro.noCapacityHeld[jo.Shape] = true
+		ro.noCapacityHeld[jo.Shape] = !ro.avoids
 		return false
 	}
 	ro.start(jo, pl)
--- a/shared/scheduler/scheduler_test.go
+++ b/shared/scheduler/scheduler_test.go
@@ -220,3 +220,21 @@
 		})
 	}
 }
+
+// TestAvoidedWorkers guards against a job that failed on a worker and keeps other jobs of its shape from that
+// worker: its search says nothing about theirs.
+func TestAvoidedWorkers(t *testing.T) {
+	ts := newTestScheduler(1, 2, Completion)
+	ts.submitJob("running", "a", workerShape(8))
+	ts.round()
+	idle := identifier.Worker("r0-w0")
+	if len(ts.zone.JobsOn(idle)) > 0 {
+		idle = "r0-w1"
+	}
+	failed := Job{ID: "failed", Workspace: "a", Shape: workerShape(8), Submitted: ts.now, Expected: hour, Avoid: []identifier.Worker{idle}}
+	ts.Enqueue(failed)
+	ts.now += clock.Minute
+	ts.submitJob("other", "a", workerShape(8))
+	starts, _ := ts.round()
+	assertJobs(t, starts, "other")
+}
