--- a/decisions/planner/filter.go
+++ b/decisions/planner/filter.go
@@ -88,9 +88,9 @@
 	return failedAt
 }
 
-// pausesOn returns the worker to which a task may not return yet because it has just failed there, or an empty
+// pausedWorker returns the worker to which a task may not return yet because it has just failed there, or an empty
 // ID.
-func (ro *round) pausesOn(ca candidate, index int) identifier.Worker {
+func (ro *round) pausedWorker(ca candidate, index int) identifier.Worker {
 	if ta := &ca.stage.Tasks[index]; ta.FailedOn != "" && ro.in.Now-ta.FailedAt < retryPause {
 		return ta.FailedOn
 	}
--- a/decisions/planner/round.go
+++ b/decisions/planner/round.go
@@ -214,18 +214,18 @@
 		ro.placeTasks(ca, ca.indexes)
 		return
 	}
-	// The tasks differ only in the workers to which they may not return yet: where one does not fit, no other
-	// does that may use the same workers or fewer.
+	// The tasks differ only in the worker to which they may not return yet. Where one does not fit, no other does
+	// that may use the same workers or fewer.
 	noRoom := map[identifier.Worker]bool{}
 	for i, index := range ca.indexes {
-		pausing := ro.pausesOn(ca, index)
-		if noRoom[pausing] || ro.placeTasks(ca, ca.indexes[i:i+1]) {
+		paused := ro.pausedWorker(ca, index)
+		if noRoom[paused] || ro.placeTasks(ca, ca.indexes[i:i+1]) {
 			continue
 		}
-		if pausing == "" || !ro.mayStart(ca, 1) {
+		if paused == "" || !ro.mayStart(ca, 1) {
 			return
 		}
-		noRoom[pausing] = true
+		noRoom[paused] = true
 	}
 }
 
