--- a/wagtailcroftd/controller/commit.go
+++ b/wagtailcroftd/controller/commit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"maps"
 
 	"github.com/rotisserie/eris"
 
@@ -23,9 +22,6 @@
 	// maxBytes bounds the size of a transaction; the store accepts 1 MB, and base64 adds a
 	// third.
 	maxBytes = 600_000
-	// countsInterval is the shortest time between two writes of the pending-job counts, which
-	// may be up to 2 s old.
-	countsInterval = 500 * clock.Millis(1)
 	// refusedRowPause is the time after which a row that the store has refused is written again.
 	refusedRowPause = 5 * clock.Second
 )
@@ -108,24 +104,10 @@
 			ba.completions[wo] = completionID{incarnation: wo.answeredAs, number: wo.applied}
 		}
 	}
-	if counts := te.countPending(); te.loaded && now-te.countedAt >= countsInterval && (te.pendingCounts == nil || !maps.Equal(counts, te.pendingCounts)) {
-		ba.counts = counts
-		te.countedAt = now
-	}
+	ba.counts = te.duePendingCounts(now)
 	return ba
 }
 
-// countPending counts, for each queue, the jobs of which no task has started.
-func (te *term) countPending() map[string]int {
-	counts := map[string]int{}
-	for _, en := range te.jobs {
-		if !en.job.State.Final() && en.job.NeverStarted() {
-			counts[string(en.job.Queue)]++
-		}
-	}
-	return counts
-}
-
 // change builds the new row of a job.
 func (te *term) change(en *entry) change {
 	jo := en.job
@@ -302,8 +284,7 @@
 		te.log.Info().Int("jobs", len(wr.changes)).Msg("leadershipReleased")
 	}
 	if wr.counts != nil {
-		te.pendingCounts = wr.counts
-		te.log.Info().Int64("version", int64(version)).Any("counts", wr.counts).Msg("pendingCountsRecorded")
+		te.markCountsRecorded(wr.counts, version)
 	}
 	for i := range wr.changes {
 		te.markChangeRecorded(&wr.changes[i], version)
--- a/wagtailcroftd/participant/renamed_queue_test.go
+++ b/wagtailcroftd/participant/renamed_queue_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// submitAndChange submits a job and, after some time, puts another configuration in force.
+func (ha *harness) submitAndChange(jo fleet.Job, after time.Duration, change func([]wire.Route) []wire.Route) fleet.Job {
+	ha.mustSubmit(0, jo)
+	ha.sleep(after)
+	ha.configure(change)
+	return jo
+}
+
 // TestRenamedQueue guards against accepted jobs of which nothing is started any more after a configuration has
 // renamed or removed their queue (LOST, review/12).
 func TestRenamedQueue(t *testing.T) {
@@ -56,42 +64,33 @@
 	second.DependsOn = []int{0}
 	t.Run("a job of a renamed queue is completed", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
-			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(2), tasks(2, 8), second))
-			ha.sleep(time.Second)
-			ha.configure(renamed(normalPrefix, "other"))
+			jo := ha.submitAndChange(ha.job(normalPrefix, seconds(2), tasks(2, 8), second), time.Second, renamed(normalPrefix, "other"))
 			ha.awaitState(1, jo, "completed", 8*time.Second)
 		})
 	})
 	t.Run("so is one of a removed queue after a change of leader", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
-			jo := ha.mustSubmit(0, ha.job(normalPrefix, seconds(2), tasks(2, 8), second))
-			ha.sleep(time.Second)
-			ha.configure(withoutRoute(normalPrefix))
+			jo := ha.submitAndChange(ha.job(normalPrefix, seconds(2), tasks(2, 8), second), time.Second, withoutRoute(normalPrefix))
 			ha.kill(ha.leader())
 			ha.awaitDone(jo, 12*time.Second)
 		})
 	})
 	t.Run("its limit of attempts goes on", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
-			jo := ha.mustSubmit(0, ha.job(normalPrefix, fleet.Behavior{RunTime: 4 * time.Second, FailedRuns: 99}, tasks(1, 1)))
-			ha.sleep(500 * time.Millisecond)
-			ha.configure(renamed(normalPrefix, "other"))
+			failing := ha.job(normalPrefix, fleet.Behavior{RunTime: 4 * time.Second, FailedRuns: 99}, tasks(1, 1))
+			jo := ha.submitAndChange(failing, 500*time.Millisecond, renamed(normalPrefix, "other"))
 			ha.awaitState(1, jo, "failed", 12*time.Second)
 		})
 	})
 	t.Run("so does its advice", func(t *testing.T) {
 		runScenario(t, 3, 4, func(ha *harness) {
-			jo := ha.mustSubmit(0, ha.job(advisedPrefix, seconds(2), tasks(2, 1), second))
-			ha.sleep(time.Second)
-			ha.configure(withoutRoute(advisedPrefix))
+			jo := ha.submitAndChange(ha.job(advisedPrefix, seconds(2), tasks(2, 1), second), time.Second, withoutRoute(advisedPrefix))
 			ha.awaitDone(jo, 8*time.Second)
 		})
 	})
 	t.Run("its running work is not taken for urgent", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
-			ha.mustSubmit(0, ha.job(batchPrefix, seconds(20), tasks(2, 8)))
-			ha.sleep(time.Second)
-			ha.configure(withoutRoute(batchPrefix))
+			ha.submitAndChange(ha.job(batchPrefix, seconds(20), tasks(2, 8)), time.Second, withoutRoute(batchPrefix))
 			jo := ha.job(urgentPrefix, seconds(1), tasks(1, 8))
 			jo.Key = bobKey // has no guarantee
 			ha.mustSubmit(0, jo)
--- a/wagtailcroftd/participant/retry_test.go
+++ b/wagtailcroftd/participant/retry_test.go
@@ -25,6 +25,15 @@
 			ha.awaitState(0, jo, "completed", 4*time.Second)
 		})
 	})
+	t.Run("it does so under a new leader too", func(t *testing.T) {
+		runScenario(t, 3, 2, func(ha *harness) {
+			fill(ha)
+			jo := ha.mustSubmit(0, ha.job(normalPrefix, fleet.Behavior{RunTime: 4 * time.Second, FailedRuns: 1}, tasks(1, 1)))
+			ha.sleep(1500 * time.Millisecond)
+			ha.kill(ha.leader())
+			ha.awaitState(ha.nonLeader(), jo, "completed", 12*time.Second)
+		})
+	})
 	t.Run("so does a task that lasts, and it fails there no more often than once a second", func(t *testing.T) {
 		runScenario(t, 3, 2, func(ha *harness) {
 			fill(ha)
